--- /dev/null
+++ b/internal/api/page.go
@@ -0,0 +1,66 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"html/template"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"marblehaven/internal/controller"
+	"marblehaven/internal/tuning"
+)
+
+// atomicTime is a time that is moved forward by whoever comes first.
+type atomicTime struct{ ns atomic.Int64 }
+
+func (a *atomicTime) advance(now time.Time, gap time.Duration) bool {
+	last := a.ns.Load()
+	return now.UnixNano()-last >= int64(gap) && a.ns.CompareAndSwap(last, now.UnixNano())
+}
+
+var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>marblehaven</title>
+<meta http-equiv="refresh" content="10">
+<style>body{font-family:sans-serif;margin:2em;max-width:50em}table{border-collapse:collapse}
+td,th{padding:.2em .8em;text-align:left;border-bottom:1px solid #ccc}.bad{color:#a00}</style></head><body>
+{{if not .Have}}<h1 class="bad">The leader cannot be asked just now</h1>
+{{else if .S.Behind}}<h1 class="bad">Player-facing work is behind</h1>
+<table><tr><th>job</th><th>kind</th><th>copies missing</th><th>for</th></tr>
+{{range .S.Behind}}<tr><td>{{.Job}}</td><td>{{.Class}}</td><td>{{.Missing}}</td><td>{{printf "%.0f" .SinceS}} s</td></tr>
+{{end}}</table>
+{{else}}<h1>All player-facing work is running</h1>{{end}}
+<p>This is {{.Name}}. {{if .Leader}}{{.Leader}} leads.{{else}}Nobody is known to lead.{{end}}
+The state service {{if .StateOK}}answers{{else}}<b class="bad">does not answer</b>{{end}}.
+{{if .Have}}The cloud {{if .S.CloudOK}}answers{{else}}<b class="bad">does not answer</b>{{end}}.{{end}}</p>
+{{if .Have}}<h2>Jobs</h2><table><tr><th>kind</th><th>waiting</th><th>running</th><th>late</th></tr>
+{{range .S.Classes}}<tr><td>{{.Class}}</td><td>{{.Waiting}}</td><td>{{.Running}}</td><td>{{.Late}}</td></tr>
+{{end}}</table>
+<h2>Machines</h2><table><tr><th>type</th><th>up</th><th>starting or silent</th></tr>
+{{range .S.Machines}}<tr><td>{{.Type}}{{if .Spot}} (cheap){{end}}</td><td>{{.Up}}</td><td>{{.Other}}</td></tr>
+{{end}}</table>{{end}}
+</body></html>
+`))
+
+func (s *Server) page(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.PeerTimeout)
+	defer cancel()
+	data := struct {
+		Name, Leader  string
+		StateOK, Have bool
+		S             controller.Status
+	}{Name: s.Name, StateOK: s.Node.StateOK()}
+	if t, ok := s.Node.Leader(); ok {
+		data.Leader = t.Node
+	}
+	data.S, data.Have = s.Node.Summary(ctx)
+	var buf bytes.Buffer
+	if err := pageTemplate.Execute(&buf, data); err != nil {
+		s.Log.Error("status page", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	w.Write(buf.Bytes())
+}
--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,215 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"marblehaven/internal/controller"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/peer"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// Node is what the server asks about its node.
+type Node interface {
+	// Leading is the leader of this node's term, nil if it has none.
+	Leading() *controller.Controller
+	// Leader is who leads, as far as known.
+	Leader() (ledger.Term, bool)
+	// Up tells whether the node can take requests.
+	Up() bool
+	// Summary is the leader's status, from whichever node.
+	Summary(ctx context.Context) (controller.Status, bool)
+	// StateOK tells whether the state service serves this node.
+	StateOK() bool
+}
+
+// Server serves the users' address.
+type Server struct {
+	Name  string
+	Users *Users
+	Node  Node
+	Peers *peer.Group
+	Log   *slog.Logger
+
+	slots   chan struct{}
+	limiter *logLimiter
+}
+
+// Serve answers on the listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	s.slots = make(chan struct{}, tuning.MaxInflight)
+	s.limiter = &logLimiter{}
+	srv := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: tuning.UserDeadline,
+		ReadTimeout:       2 * tuning.UserDeadline,
+		IdleTimeout:       tuning.IdleConn,
+		MaxHeaderBytes:    8 << 10,
+		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+	}
+	go func() {
+		<-ctx.Done()
+		srv.Close()
+	}()
+	return srv.Serve(ln)
+}
+
+// ServeHTTP routes by hand: seven paths, and wrong methods need 405.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path := r.URL.Path
+	switch {
+	case path == "/hello":
+		if method(w, r, http.MethodPost) {
+			s.hello(w, r)
+		}
+	case path == "/up":
+		if method(w, r, http.MethodGet) {
+			if s.Node.Up() {
+				w.WriteHeader(http.StatusOK)
+			} else {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}
+	case path == "/v1/jobs":
+		if method(w, r, http.MethodPost) {
+			if body, ok := readBody(w, r); ok {
+				s.user(w, r, opSubmit, "", body)
+			}
+		}
+	case strings.HasPrefix(path, "/v1/jobs/"):
+		ref := strings.TrimPrefix(path, "/v1/jobs/")
+		if ref, ok := strings.CutSuffix(ref, "/withdraw"); ok {
+			if method(w, r, http.MethodPost) {
+				s.user(w, r, opWithdraw, ref, nil)
+			}
+		} else if method(w, r, http.MethodGet) {
+			s.user(w, r, opPoll, ref, nil)
+		}
+	case path == "/":
+		if method(w, r, http.MethodGet) {
+			s.page(w, r)
+		}
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func method(w http.ResponseWriter, r *http.Request, want string) bool {
+	if r.Method == want || (want == http.MethodGet && r.Method == http.MethodHead) {
+		return true
+	}
+	w.Header().Set("Allow", want)
+	w.WriteHeader(http.StatusMethodNotAllowed)
+	return false
+}
+
+// readBody reads a body up to the protocol's limit and no further.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tuning.MaxBody))
+	if err == nil {
+		return body, true
+	}
+	status := http.StatusBadRequest
+	var big *http.MaxBytesError
+	if errors.As(err, &big) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	w.WriteHeader(status)
+	return nil, false
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	var raw []byte
+	if body != nil {
+		if b, ok := body.([]byte); ok {
+			raw = b
+		} else {
+			raw, _ = wire.Marshal(body)
+		}
+	}
+	h := w.Header()
+	if len(raw) > 0 {
+		h.Set("Content-Type", "application/msgpack")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(raw)))
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.Itoa(tuning.RetryAfterS))
+	}
+	w.WriteHeader(status)
+	w.Write(raw)
+}
+
+// user answers a user's call. When more come than can be worked on they are
+// refused early, at once and alike.
+func (s *Server) user(w http.ResponseWriter, r *http.Request, op, ref string, body []byte) {
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		reply(w, http.StatusServiceUnavailable, nil)
+		return
+	}
+	var a answer
+	if s.Node.StateOK() || !s.Peers.Served() {
+		a = s.Users.Do(r.Context(), op, ref, body)
+	} else {
+		a = refused
+	}
+	if a.refused {
+		// The state service may refuse this node alone: a peer that it serves
+		// can answer for us.
+		if f, ok := s.Peers.Forward(r.Context(), &peer.UserCall{Op: op, Ref: ref, Body: body}); ok {
+			reply(w, f.Status, f.Body)
+			return
+		}
+	}
+	reply(w, a.status, a.body)
+}
+
+func (s *Server) hello(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	var rep wire.Report
+	err := wire.Unmarshal(body, &rep)
+	if err == nil {
+		err = rep.Check()
+	}
+	if err != nil {
+		if s.limiter.allow(time.Now()) {
+			s.Log.Error("malformed report", "from", r.RemoteAddr, "err", err)
+		}
+		reply(w, http.StatusBadRequest, nil)
+		return
+	}
+	if c := s.Node.Leading(); c != nil {
+		ctx, cancel := context.WithTimeout(r.Context(), tuning.HelloDeadline)
+		defer cancel()
+		if h, err := c.Hello(ctx, &rep); err == nil {
+			reply(w, http.StatusOK, h)
+			return
+		}
+		reply(w, http.StatusServiceUnavailable, nil)
+		return
+	}
+	var to wire.Redirect
+	if t, ok := s.Node.Leader(); ok && t.Node != s.Name {
+		to.Leader = t.Node
+	}
+	reply(w, http.StatusMisdirectedRequest, to)
+}
+
+// logLimiter lets one line through per interval.
+type logLimiter struct{ last atomicTime }
+
+func (l *logLimiter) allow(now time.Time) bool { return l.last.advance(now, tuning.ErrorLogEvery) }
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,110 @@
+// Package cloud speaks to the machine cloud within its budget of calls.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"net/url"
+
+	"golang.org/x/time/rate"
+
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+var (
+	// ErrNoCapacity: nothing of this type, zone and kind is to be had now.
+	ErrNoCapacity = errors.New("cloud: no capacity")
+	// ErrMalformed: the cloud refused the request as malformed.
+	ErrMalformed = errors.New("cloud: malformed request")
+	// ErrUnavailable: no usable answer; the request may be executed later.
+	ErrUnavailable = errors.New("cloud: unavailable")
+)
+
+// Client is a client of the cloud. It is safe for concurrent use.
+type Client struct {
+	base string
+	hc   *http.Client
+	lim  *rate.Limiter
+}
+
+// New makes a client that makes at most rps calls a second.
+func New(addr string, rt http.RoundTripper, rps float64) *Client {
+	return &Client{base: "http://" + addr, hc: &http.Client{Transport: rt}, lim: rate.NewLimiter(rate.Limit(rps), int(math.Max(1, rps)))}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in any, out map[int]any) error {
+	if err := c.lim.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
+	defer cancel()
+	status, err := wire.Call(ctx, c.hc, method, c.base+path, in, out)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	case status == http.StatusBadRequest:
+		return ErrMalformed
+	case status != http.StatusOK:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+	return nil
+}
+
+// Catalog reads machine types and current prices. Types that make no sense are
+// left out.
+func (c *Client) Catalog(ctx context.Context) ([]wire.MachineType, error) {
+	var cat wire.Catalog
+	if err := c.call(ctx, http.MethodGet, "/catalog", nil, map[int]any{200: &cat}); err != nil {
+		return nil, err
+	}
+	var ok []wire.MachineType
+	for _, t := range cat.Types {
+		if t.Name != "" && t.Cores >= 0 && t.MemGB >= 0 && t.Price > 0 && t.BootS >= 0 && len(t.Zones) > 0 {
+			ok = append(ok, t)
+		}
+	}
+	if len(ok) == 0 {
+		return nil, fmt.Errorf("%w: empty catalog", ErrUnavailable)
+	}
+	return ok, nil
+}
+
+// Rent asks for machines under a claim. Repeating it is safe.
+func (c *Client) Rent(ctx context.Context, r wire.RentRequest) ([]string, error) {
+	var hosts wire.Hosts
+	var refusal wire.ErrorReply
+	err := c.call(ctx, http.MethodPost, "/rentals", r, map[int]any{200: &hosts, 503: &refusal})
+	if err != nil && refusal.Error == "no capacity" {
+		return nil, ErrNoCapacity
+	}
+	return hosts.Hosts, err
+}
+
+// Return gives machines back; on success they and all on them are gone.
+func (c *Client) Return(ctx context.Context, hosts []string) error {
+	return c.call(ctx, http.MethodPost, "/rentals/return", wire.Hosts{Hosts: hosts}, nil)
+}
+
+// List reads all machines.
+func (c *Client) List(ctx context.Context) ([]wire.ListedMachine, error) {
+	var all []wire.ListedMachine
+	for after := ""; ; {
+		q := url.Values{"most": {fmt.Sprint(tuning.ListMax)}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var page wire.MachineList
+		if err := c.call(ctx, http.MethodGet, "/rentals?"+q.Encode(), nil, map[int]any{200: &page}); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		after = page.Machines[len(page.Machines)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/controller/commit.go
@@ -0,0 +1,411 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// batch is one commit under way and what it means once applied.
+type batch struct {
+	txn   wire.Commit
+	runs  []runWrite
+	over  []*job
+	claim []*claim // written
+	drop  []*claim // deleted
+	bytes int
+}
+
+type runWrite struct {
+	j      *job
+	placed []*fleet.Placement
+	done   []int
+}
+
+// probe names a key whose version tells whether the batch was applied, and the
+// version that it had before.
+func (b *batch) probe() (key string, was uint64) {
+	switch {
+	case len(b.over) > 0:
+		return ledger.FinalKey(b.over[0].ref), 0
+	case len(b.runs) > 0:
+		return ledger.RunKey(b.runs[0].j.ref), b.runs[0].j.runVer
+	case len(b.claim) > 0:
+		return ledger.ClaimKey(b.claim[0].Claim.Claim), 0
+	}
+	return "", 0
+}
+
+// commit writes what is due, as far as the limits of a commit and the write
+// budget go. One commit is under way at a time, so records never overtake one
+// another; each is guarded by its own version, so a late copy of an earlier
+// commit cannot undo a newer one.
+func (c *Controller) commit(now time.Time) {
+	if c.inCommit != nil || now.Before(c.commitAfter) {
+		return
+	}
+	limit := c.Config.Deployment.State.TxnOps
+	limit = min(limit, int(c.writes.TokensAt(now)))
+	b := &batch{txn: wire.Commit{Guards: []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}}}}
+	ops := 0
+	add := func(n, size int) bool {
+		if ops+n > limit || b.bytes+size > tuning.CommitBytes {
+			return false
+		}
+		ops += n
+		b.bytes += size
+		return true
+	}
+	var due []*job
+	for _, j := range c.jobs {
+		if j.over() || (j.dirty && (j.urgent || now.Sub(j.dirtyAt) >= tuning.TickEvery)) {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, func(x, y *job) int {
+		return cmp.Or(cmp.Compare(x.rank(), y.rank()), x.dirtyAt.Compare(y.dirtyAt), cmp.Compare(x.ref, y.ref))
+	})
+	for _, j := range due {
+		guards := []wire.Guard{{Key: ledger.OpenKey(j.ref), Version: j.openVer}, {Key: ledger.RunKey(j.ref), Version: j.runVer}}
+		if j.over() {
+			if !add(3, 400) {
+				continue
+			}
+			phase := wire.PhaseDone
+			if j.cancelled {
+				phase = wire.PhaseCancelled
+			}
+			b.txn.Guards = append(b.txn.Guards, guards...)
+			b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.OpenKey(j.ref)},
+				wire.Change{Set: ledger.FinalKey(j.ref), Value: ledger.Final{Phase: phase, Tasks: j.nDone}})
+			if j.runVer > 0 {
+				b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.RunKey(j.ref)})
+			}
+			b.over = append(b.over, j)
+			continue
+		}
+		r := j.record()
+		if !add(1, 300+len(r.Live)*tuning.RecordEntryBytes+len(r.Done)*16) {
+			continue
+		}
+		w := runWrite{j: j}
+		for _, p := range j.live {
+			if !p.Recorded {
+				w.placed = append(w.placed, p)
+			}
+		}
+		for n := range j.pendingDone {
+			w.done = append(w.done, n)
+		}
+		b.txn.Guards = append(b.txn.Guards, guards...)
+		b.txn.Changes = append(b.txn.Changes, wire.Change{Set: ledger.RunKey(j.ref), Value: r})
+		b.runs = append(b.runs, w)
+		j.dirty, j.urgent = false, false
+	}
+	for _, cl := range c.claims {
+		switch {
+		case !cl.recorded && add(1, 200):
+			b.txn.Changes = append(b.txn.Changes, wire.Change{Set: ledger.ClaimKey(cl.Claim.Claim), Value: cl.Claim})
+			b.claim = append(b.claim, cl)
+		case cl.recorded && cl.drop && add(1, 100):
+			b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.ClaimKey(cl.Claim.Claim)})
+			b.drop = append(b.drop, cl)
+		}
+	}
+	if ops == 0 {
+		return
+	}
+	c.writes.AllowN(now, min(ops, c.writes.Burst()))
+	c.inCommit = b
+	go c.runCommit(b)
+}
+
+// runCommit carries a commit through to a certain outcome. Without an answer it
+// may have been applied, or be applied later: it is sent again, unchanged, and
+// when its guards then fail, a key tells whether the first copy was applied.
+func (c *Controller) runCommit(b *batch) {
+	ctx := c.ctx
+	unknown := false
+	key, was := b.probe()
+	for ctx.Err() == nil {
+		r, err := c.Store.Commit(ctx, b.txn)
+		switch {
+		case errors.Is(err, statestore.ErrUnknown):
+			unknown = true
+			c.Log.Debug("commit unanswered", "err", err)
+			wait(ctx, tuning.ElectionRetry)
+			continue
+		case errors.Is(err, statestore.ErrRefused) && unknown:
+			wait(ctx, tuning.ElectionRetry)
+			continue
+		case errors.Is(err, statestore.ErrConflict) && unknown && !slices.Contains(r.Failed, ledger.KeyTerm) && key != "":
+			it, gerr := c.Store.Get(ctx, key)
+			if gerr != nil && !errors.Is(gerr, statestore.ErrNotFound) {
+				wait(ctx, tuning.ElectionRetry)
+				continue
+			}
+			if gerr == nil && it.Version != was {
+				r.Revision, err = it.Version, nil
+			}
+		}
+		c.send(commitMsg{b, r.Revision, r.Failed, err})
+		return
+	}
+}
+
+func (c *Controller) onCommit(m commitMsg, now time.Time) {
+	c.inCommit = nil
+	b := m.b
+	if m.err != nil {
+		for _, w := range b.runs {
+			w.j.dirty, w.j.urgent = true, w.j.urgent || len(w.placed) > 0
+		}
+		if errors.Is(m.err, statestore.ErrConflict) {
+			if slices.Contains(m.failed, ledger.KeyTerm) {
+				c.Log.Info("the term was taken by another node")
+				c.OnTerm(c.term.N + 1)
+				return
+			}
+			// A job was cancelled meanwhile; its event is on the way. Its new
+			// starts are dropped, the rest is written next time.
+			for _, w := range b.runs {
+				if slices.Contains(m.failed, ledger.OpenKey(w.j.ref)) {
+					for _, p := range w.placed {
+						if w.j.live[p.Task] == p {
+							c.unplace(p, now)
+						}
+					}
+				}
+			}
+			c.commitAfter = now.Add(tuning.PassGap)
+			return
+		}
+		c.commitAfter = now.Add(tuning.ElectionRetry)
+		return
+	}
+	for _, w := range b.runs {
+		w.j.runVer = m.revision
+		for _, n := range w.done {
+			delete(w.j.pendingDone, n)
+		}
+		for _, p := range w.placed {
+			if w.j.live[p.Task] == p {
+				p.Recorded = true
+				p.Machine.Outbox = append(p.Machine.Outbox, p)
+			}
+		}
+	}
+	for _, j := range b.over {
+		c.Log.Debug("job over", "job", j.ref, "cancelled", j.cancelled)
+		delete(c.jobs, j.ref)
+	}
+	for _, cl := range b.claim {
+		cl.recorded = true
+	}
+	for _, cl := range b.drop {
+		delete(c.claims, cl.Claim.Claim)
+	}
+	for _, m := range c.machines {
+		c.dispatch(m, now)
+	}
+}
+
+// rent makes a claim for machines; it is called once it is recorded.
+func (c *Controller) rent(typ, zone string, spot bool, count int, now time.Time) {
+	for count > 0 {
+		n := min(count, tuning.RentMax)
+		count -= n
+		c.claimSeq++
+		// The term makes the name unique over all leaders, for ever.
+		name := fmt.Sprintf("r-%d-%d", c.term.N, c.claimSeq)
+		c.claims[name] = &claim{Claim: ledger.Claim{Claim: name, Type: typ, Zone: zone, Spot: spot, Count: n, AtMS: now.UnixMilli()}}
+		c.Log.Info("renting", "claim", name, "type", typ, "zone", zone, "spot", spot, "count", n)
+	}
+}
+
+// callClaims calls the cloud for recorded claims whose outcome is not known.
+func (c *Controller) callClaims(now time.Time) {
+	for _, cl := range c.claims {
+		if !cl.recorded || cl.calling || cl.settled || now.Before(cl.callAt) {
+			continue
+		}
+		cl.calling = true
+		req := wire.RentRequest{Claim: cl.Claim.Claim, Type: cl.Type, Zone: cl.Zone, Spot: cl.Spot, Count: cl.Count}
+		go func() {
+			hosts, err := c.Cloud.Rent(c.ctx, req)
+			c.send(rentMsg{cl, hosts, err})
+		}()
+	}
+}
+
+func (c *Controller) onRent(m rentMsg, now time.Time) {
+	cl := m.c
+	cl.calling = false
+	switch {
+	case m.err == nil:
+		cl.settled, cl.hosts = true, m.hosts
+		c.cloudOK = true
+		for _, id := range m.hosts {
+			if _, ok := c.gone[id]; ok {
+				continue
+			}
+			if c.machines[id] == nil {
+				mc := c.machine(id, time.UnixMilli(cl.AtMS))
+				mc.Type, mc.Zone, mc.Spot = cl.Type, cl.Zone, cl.Spot
+				mc.Rented = now
+			}
+		}
+		if len(m.hosts) < cl.Count {
+			c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
+		} else {
+			delete(c.refused, offer{cl.Type, cl.Zone, cl.Spot})
+		}
+		c.Log.Info("rented", "claim", cl.Claim.Claim, "got", len(m.hosts), "asked", cl.Count)
+	case errorsIsNoCapacity(m.err):
+		cl.settled, cl.drop = true, true
+		c.cloudOK = true
+		c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
+		c.Log.Info("no capacity", "type", cl.Type, "zone", cl.Zone, "spot", cl.Spot)
+	default:
+		// The outcome is unknown or the cloud is down: the same claim is
+		// called again, which rents at most once.
+		cl.callAt = now.Add(tuning.MachineBackoff)
+		c.cloudOK = false
+		c.Log.Info("rental call failed", "claim", cl.Claim.Claim, "err", m.err)
+		if errorsIsMalformed(m.err) {
+			cl.settled, cl.drop = true, true
+			c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
+		}
+	}
+}
+
+func (c *Controller) refuse(o offer, now time.Time) {
+	r := c.refused[o]
+	if r == nil {
+		r = &refusal{pause: tuning.NoCapacityBackoff}
+		c.refused[o] = r
+	} else {
+		r.pause = min(2*r.pause, tuning.NoCapacityBackoffMax)
+	}
+	r.until = now.Add(r.pause)
+}
+
+// giveBack returns machines on which nothing can be, or which are lost: the
+// cloud's answer proves that all on them is gone.
+func (c *Controller) giveBack(ms []*fleet.Machine, why string) {
+	for len(ms) > 0 {
+		part := ms[:min(len(ms), tuning.ReturnMax)]
+		ms = ms[len(part):]
+		ids := make([]string, len(part))
+		for i, m := range part {
+			m.Leaving = true
+			ids[i] = m.ID
+		}
+		c.Log.Info("returning machines", "why", why, "machines", ids)
+		go func() {
+			err := c.Cloud.Return(c.ctx, ids)
+			for err != nil && wait(c.ctx, tuning.MachineBackoff) {
+				err = c.Cloud.Return(c.ctx, ids)
+			}
+			c.send(returnMsg{part, err})
+		}()
+	}
+}
+
+func (c *Controller) onReturn(r returnMsg, now time.Time) {
+	if r.err != nil {
+		return
+	}
+	for _, m := range r.ms {
+		var ended []fleet.Ended
+		for _, p := range m.Live {
+			ended = append(ended, fleet.Ended{Placement: p})
+		}
+		c.end(ended, now)
+		delete(c.machines, m.ID)
+		c.gone[m.ID] = now
+	}
+}
+
+func (c *Controller) onList(l listMsg, now time.Time) {
+	c.listing = false
+	c.cloudOK = l.err == nil
+	if l.err != nil {
+		c.Log.Debug("machine list", "err", l.err)
+		return
+	}
+	c.listed = true
+	var failed []*fleet.Machine
+	seen := map[string]bool{}
+	for _, lm := range l.machines {
+		seen[lm.ID] = true
+		if _, ok := c.gone[lm.ID]; ok {
+			continue
+		}
+		m := c.machines[lm.ID]
+		if m == nil {
+			m = c.machine(lm.ID, now)
+			m.Rented = now.Add(-seconds(lm.AgeS))
+			m.Type, m.Zone, m.Spot = lm.Type, lm.Zone, lm.Spot
+		}
+		if m.Type == "" {
+			m.Type, m.Zone, m.Spot, m.Rented = lm.Type, lm.Zone, lm.Spot, now.Add(-seconds(lm.AgeS))
+		}
+		if !m.Up && m.Addr == "" && lm.Addr != "" && lm.State != wire.MachineStarting {
+			m.Addr = lm.Addr
+		}
+		if lm.State == wire.MachineFailed && !m.Leaving {
+			failed = append(failed, m)
+		}
+	}
+	c.giveBack(failed, "failed")
+	for _, cl := range c.claims {
+		if !cl.settled || cl.drop {
+			continue
+		}
+		// The list has taken over: a new leader will find these there.
+		all := true
+		for _, id := range cl.hosts {
+			_, gone := c.gone[id]
+			m := c.machines[id]
+			all = all && (seen[id] || gone || (m != nil && m.Up))
+		}
+		cl.drop = all
+	}
+}
+
+func (c *Controller) onCatalog(m catalogMsg, _ time.Time) {
+	if m.types != nil {
+		c.setTypes(m.types)
+		c.loadedTypes = true
+	}
+}
+
+func (c *Controller) setTypes(types []wire.MachineType) {
+	c.types = types
+	c.typeIdx = make(map[string]int, len(types))
+	for i, t := range types {
+		c.typeIdx[t.Name] = i
+	}
+}
+
+// saveCatalog keeps the catalog for nodes that cannot reach the cloud. Losing
+// this write does no harm, so it is not part of the batches.
+func (c *Controller) saveCatalog(ctx context.Context, types []wire.MachineType) {
+	_, err := c.Store.Commit(ctx, wire.Commit{
+		Guards:  []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}},
+		Changes: []wire.Change{{Set: ledger.KeyCatalog, Value: types}},
+	})
+	if err != nil {
+		c.Log.Debug("saving the catalog", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,674 @@
+// Package controller is the leader: one actor that owns jobs, machines and
+// rentals for a term, and is spoken to by messages only.
+package controller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"marblehaven/internal/cloud"
+	"marblehaven/internal/config"
+	"marblehaven/internal/election"
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+	"marblehaven/internal/worker"
+)
+
+// Deps is what a leader works with.
+type Deps struct {
+	Config *config.Config
+	Store  *statestore.Client
+	Cloud  *cloud.Client
+	Worker *worker.Client
+	Log    *slog.Logger
+	// OnTerm tells of a newer term seen at a worker.
+	OnTerm func(n uint64)
+	// PeersConfirm returns the latest time for which every peer has confirmed
+	// that it acknowledged no cancellation since the given time, and how often
+	// that holds; zero if one of them has not.
+	PeersConfirm func(since time.Time) time.Time
+}
+
+// ErrNotEntitled says that the leader may not answer reports now.
+var ErrNotEntitled = errors.New("not entitled to act")
+
+type (
+	helloMsg struct {
+		rep   *wire.Report
+		reply chan *wire.HelloReply // nil answer: not entitled
+	}
+	doMsg struct {
+		m        *fleet.Machine
+		rep      *wire.Report
+		executed bool
+		err      error
+	}
+	commitMsg struct {
+		b        *batch
+		revision uint64
+		failed   []string
+		err      error
+	}
+	eventsMsg struct {
+		events []wire.Event
+		asOf   time.Time // every cancellation told before it is in here
+	}
+	termMsg struct{ asOf time.Time }
+	listMsg struct {
+		machines []wire.ListedMachine
+		err      error
+	}
+	catalogMsg struct {
+		types []wire.MachineType
+	}
+	rentMsg struct {
+		c     *claim
+		hosts []string
+		err   error
+	}
+	returnMsg struct {
+		ms  []*fleet.Machine
+		err error
+	}
+	statusMsg struct{ reply chan Status }
+)
+
+type claim struct {
+	ledger.Claim
+	recorded, calling, settled bool
+	hosts                      []string
+	callAt                     time.Time
+	drop                       bool // its record may go
+}
+
+// Controller is the leader of one term.
+type Controller struct {
+	Deps
+	term  election.Held
+	inbox chan any
+	ctx   context.Context
+
+	jobs     map[string]*job
+	machines map[string]*fleet.Machine
+	gone     map[string]time.Time
+	claims   map[string]*claim
+	claimSeq int
+	types    []wire.MachineType
+	typeIdx  map[string]int
+	refused  map[offer]*refusal
+	est      estimator
+
+	takeover    time.Time
+	asOfFollow  time.Time
+	asOfTerm    time.Time
+	inCommit    *batch
+	commitAfter time.Time
+	writes      *rate.Limiter
+	listed      bool
+	listing     bool
+	cloudOK     bool
+	nextList    time.Time
+	catalogAt   time.Time
+	loadedTypes bool
+	lastPass    time.Time
+	summarized  time.Time
+	lateLogged  time.Time
+	status      Status
+	maxLive     int
+}
+
+type offer struct {
+	typ, zone string
+	spot      bool
+}
+
+type refusal struct {
+	until time.Time
+	pause time.Duration
+}
+
+// New makes the leader of a term.
+func New(d Deps, term election.Held) *Controller {
+	st := d.Config.Deployment.State
+	wr := st.WriteRPS * tuning.LeaderWriteShare
+	return &Controller{
+		Deps: d, term: term, inbox: make(chan any, tuning.InboxSize),
+		jobs: map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{},
+		claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
+		est:     estimator{off: d.Config.Operator.Estimator == "user", classes: map[string]*classRuns{}},
+		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), st.TxnOps)),
+		maxLive: max(1, int(st.ValueKB*1024/2)/tuning.RecordEntryBytes),
+	}
+}
+
+// Hello answers a worker's report, or fails with ErrNotEntitled.
+func (c *Controller) Hello(ctx context.Context, rep *wire.Report) (*wire.HelloReply, error) {
+	reply := make(chan *wire.HelloReply, 1)
+	select {
+	case c.inbox <- helloMsg{rep, reply}:
+	default:
+		return nil, ErrNotEntitled // overloaded: the worker tries again
+	}
+	select {
+	case r := <-reply:
+		if r == nil {
+			return nil, ErrNotEntitled
+		}
+		return r, nil
+	case <-c.ctxDone():
+		return nil, ErrNotEntitled
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Controller) ctxDone() <-chan struct{} { return c.ctx.Done() }
+
+// Status asks for a summary.
+func (c *Controller) Status(ctx context.Context) (Status, bool) {
+	reply := make(chan Status, 1)
+	select {
+	case c.inbox <- statusMsg{reply}:
+	case <-c.ctxDone():
+		return Status{}, false
+	case <-ctx.Done():
+		return Status{}, false
+	}
+	select {
+	case s := <-reply:
+		return s, true
+	case <-c.ctxDone():
+	case <-ctx.Done():
+	}
+	return Status{}, false
+}
+
+// Bind sets the context of the term; it comes before any other call.
+func (c *Controller) Bind(ctx context.Context) { c.ctx = ctx }
+
+// Run leads until the context given to Bind ends.
+func (c *Controller) Run() {
+	ctx := c.ctx
+	c.takeover = time.Now()
+	rev, ok := c.load(ctx)
+	if !ok {
+		return
+	}
+	c.Log.Info("records read", "term", c.term.N, "jobs", len(c.jobs), "machines", len(c.machines), "claims", len(c.claims))
+	go c.follow(ctx, rev)
+	go c.confirmTerm(ctx)
+	tick := time.NewTicker(tuning.TickEvery)
+	defer tick.Stop()
+	c.onTick(time.Now())
+	passTimer := time.NewTimer(0)
+	defer passTimer.Stop()
+	armed := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.inbox:
+			c.handle(m)
+			// What has already arrived is decided together.
+			for more := true; more; {
+				select {
+				case m := <-c.inbox:
+					c.handle(m)
+				default:
+					more = false
+				}
+			}
+		case now := <-tick.C:
+			c.onTick(now)
+		case <-passTimer.C:
+			armed = false
+			c.lastPass = time.Now()
+			c.pass(c.lastPass)
+			continue
+		}
+		if !armed {
+			armed = true
+			passTimer.Reset(max(0, tuning.PassGap-time.Since(c.lastPass)))
+		}
+	}
+}
+
+func (c *Controller) handle(m any) {
+	now := time.Now()
+	switch m := m.(type) {
+	case helloMsg:
+		m.reply <- c.onHello(m.rep, now)
+	case doMsg:
+		c.onDo(m, now)
+	case commitMsg:
+		c.onCommit(m, now)
+	case eventsMsg:
+		c.onEvents(m, now)
+	case termMsg:
+		c.asOfTerm = m.asOf
+	case listMsg:
+		c.onList(m, now)
+	case catalogMsg:
+		c.onCatalog(m, now)
+	case rentMsg:
+		c.onRent(m, now)
+	case returnMsg:
+		c.onReturn(m, now)
+	case statusMsg:
+		m.reply <- c.status
+	}
+}
+
+func (c *Controller) send(m any) {
+	select {
+	case c.inbox <- m:
+	case <-c.ctx.Done():
+	}
+}
+
+// load reads the records that an earlier leader left.
+func (c *Controller) load(ctx context.Context) (uint64, bool) {
+	for ctx.Err() == nil {
+		start := time.Now()
+		open, err := c.Store.ListAll(ctx, ledger.PrefixOpen)
+		var claims wire.Items
+		if err == nil {
+			claims, err = c.Store.ListAll(ctx, ledger.PrefixRent)
+		}
+		var cat wire.Item
+		if err == nil {
+			if cat, err = c.Store.Get(ctx, ledger.KeyCatalog); errors.Is(err, statestore.ErrNotFound) {
+				err = nil
+			}
+		}
+		if err != nil {
+			c.Log.Debug("reading records", "err", err)
+			wait(ctx, tuning.ElectionRetry)
+			continue
+		}
+		now := time.Now()
+		for _, it := range open.Items {
+			c.setOpen(it.Key, it.Value, it.Version, now)
+		}
+		for _, it := range claims.Items {
+			var cl ledger.Claim
+			if err := wire.Unmarshal(it.Value, &cl); err == nil {
+				c.claims[cl.Claim] = &claim{Claim: cl, recorded: true}
+			}
+		}
+		if cat.Value != nil {
+			var types []wire.MachineType
+			if wire.Unmarshal(cat.Value, &types) == nil {
+				c.setTypes(types)
+				c.loadedTypes = true
+			}
+		}
+		c.asOfFollow, c.asOfTerm = start, start
+		return open.Revision, true
+	}
+	return 0, false
+}
+
+// setOpen takes in an open job's record, or, while loading, its run record.
+func (c *Controller) setOpen(key string, value []byte, ver uint64, now time.Time) {
+	ref, run := ledger.SplitOpen(key)
+	if run {
+		j := c.jobs[ref]
+		var r ledger.Run
+		if j == nil || wire.Unmarshal(value, &r) != nil {
+			c.Log.Error("unreadable run record", "job", ref)
+			return
+		}
+		j.restore(&r, ver)
+		for _, lp := range r.Live {
+			m := c.machine(lp.Machine, now)
+			p := &fleet.Placement{Key: fleet.Key{Job: ref, Task: lp.Task}, Attempt: lp.Attempt, Session: lp.Session,
+				Machine: m, Recorded: true, Sent: true, Since: now}
+			j.live[lp.Task], m.Live[p.Key] = p, p
+		}
+		return
+	}
+	var o ledger.OpenJob
+	if err := wire.Unmarshal(value, &o); err != nil {
+		c.Log.Error("unreadable job record", "job", ref, "err", err)
+		return
+	}
+	if j := c.jobs[ref]; j != nil {
+		if ver > j.openVer {
+			j.openVer = ver
+			if o.Cancelled && !j.cancelled {
+				c.cancelJob(j, now)
+			}
+		}
+		return
+	}
+	c.jobs[ref] = newJob(ref, &o, ver, now)
+}
+
+// follow learns of new jobs and cancellations. Each return also proves that all
+// told before the call began are known here.
+func (c *Controller) follow(ctx context.Context, rev uint64) {
+	for ctx.Err() == nil {
+		start := time.Now()
+		ev, err := c.Store.Follow(ctx, ledger.PrefixOpen, rev, tuning.FollowHold)
+		switch {
+		case err == nil:
+			rev = ev.Revision
+			c.send(eventsMsg{ev.Events, start})
+		case errors.Is(err, statestore.ErrCompacted):
+			items, err := c.Store.ListAll(ctx, ledger.PrefixOpen)
+			if err == nil {
+				m := eventsMsg{asOf: start}
+				for _, it := range items.Items {
+					m.events = append(m.events, wire.Event{Set: it.Key, Value: it.Value, Version: it.Version})
+				}
+				rev = items.Revision
+				c.send(m)
+			}
+		default:
+			wait(ctx, tuning.ElectionRetry)
+		}
+	}
+}
+
+// confirmTerm proves once a second that the term is still ours.
+func (c *Controller) confirmTerm(ctx context.Context) {
+	for wait(ctx, tuning.FollowHold) {
+		start := time.Now()
+		it, err := c.Store.Get(ctx, ledger.KeyTerm)
+		if err != nil {
+			continue
+		}
+		if it.Version != c.term.Stamp {
+			var t ledger.Term
+			if wire.Unmarshal(it.Value, &t) == nil {
+				c.OnTerm(t.N)
+			}
+			return
+		}
+		c.send(termMsg{start})
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// confirmed is the time up to which the state service itself has proved that.
+func (c *Controller) confirmed() time.Time {
+	if c.asOfTerm.Before(c.asOfFollow) {
+		return c.asOfTerm
+	}
+	return c.asOfFollow
+}
+
+// authority is the time up to which no cancellation told to a user and no newer
+// term can be unknown here.
+func (c *Controller) authority() time.Time {
+	at := c.confirmed()
+	if c.PeersConfirm != nil {
+		if t := c.PeersConfirm(at); t.After(at) {
+			at = t
+		}
+	}
+	return at
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// grace is X: how long after its last proof of authority a leader may answer
+// reports, so that a machine kept alive by it still loses its tasks in time.
+func (c *Controller) grace() time.Duration {
+	w := c.Config.Deployment.Workers
+	return max(0, seconds(w.CancelS-w.LeaseS)-tuning.AuthorityMargin)
+}
+
+func (c *Controller) leaseFrom(t time.Time) time.Time {
+	return t.Add(seconds(c.Config.Deployment.Workers.LeaseS*(1+tuning.DriftShare)) + tuning.LeaseMargin)
+}
+
+func (c *Controller) token() uint64 { return c.term.N << tuning.BatonShift }
+
+// machine finds a machine or makes one that is known by name only.
+func (c *Controller) machine(id string, now time.Time) *fleet.Machine {
+	m := c.machines[id]
+	if m == nil {
+		// An earlier leader may go on answering it for X, and then its lease
+		// runs: only after that its recorded tasks count as gone.
+		m = fleet.New(id, c.token(), now, c.leaseFrom(c.takeover.Add(c.grace())))
+		c.machines[id] = m
+	}
+	return m
+}
+
+func (c *Controller) onHello(r *wire.Report, now time.Time) *wire.HelloReply {
+	if r.Token>>tuning.BatonShift > c.term.N {
+		c.Log.Info("a worker has seen a newer term", "machine", r.Machine)
+		c.OnTerm(r.Token >> tuning.BatonShift)
+		return nil
+	}
+	if now.Sub(c.authority()) > c.grace() {
+		return nil
+	}
+	if _, ok := c.gone[r.Machine]; ok {
+		return &wire.HelloReply{Token: c.token(), Orders: []wire.Order{}}
+	}
+	m := c.machine(r.Machine, now)
+	c.observe(m, r, now)
+	if until := c.leaseFrom(now); m.Shown >= c.token() || until.After(m.LeaseEnd) {
+		m.LeaseEnd = until
+	}
+	return &wire.HelloReply{Token: m.Token, Orders: c.orders(m)}
+}
+
+// observe takes in a report from /hello or from a direct command's answer.
+func (c *Controller) observe(m *fleet.Machine, r *wire.Report, now time.Time) {
+	wasUp := m.Up
+	ended, fresh := m.Observe(r, parseTask, now)
+	if !fresh {
+		return
+	}
+	if !wasUp {
+		m.IdleSince = now
+		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
+	}
+	c.end(ended, now)
+}
+
+// orders are the stops and reaps due at a machine. Both may be repeated.
+func (c *Controller) orders(m *fleet.Machine) []wire.Order {
+	out := []wire.Order{}
+	for _, t := range m.Reported {
+		k, ok := parseTask(t.Task)
+		p := m.Live[k]
+		j := c.jobs[k.Job]
+		switch {
+		case t.State == wire.TaskExited:
+			// Reaping earlier could make the worker run it again: a start
+			// still under way, or a completion that is not recorded yet.
+			if m.Settled() && !(j != nil && j.pendingDone[k.Task]) && (p == nil || p.Attempt != t.Attempt) {
+				out = append(out, wire.Order{Verb: wire.VerbForget, Task: t.Task, Attempt: t.Attempt})
+			}
+		case !ok || p == nil || p.Attempt != t.Attempt:
+			if m.Shown >= c.token() {
+				out = append(out, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt})
+			}
+		case p.Stopping && t.State != wire.TaskSaving:
+			out = append(out, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, Grace: p.Grace})
+		}
+	}
+	return out
+}
+
+// end draws the conclusions from placements that are over.
+func (c *Controller) end(ended []fleet.Ended, now time.Time) {
+	for _, e := range ended {
+		p := e.Placement
+		p.Machine.Drop(p, now)
+		j := c.jobs[p.Job]
+		if j == nil || j.live[p.Task] != p {
+			continue
+		}
+		delete(j.live, p.Task)
+		if e.Cause == wire.CauseDone {
+			if p.State == wire.TaskRunning {
+				c.est.done(&j.desc, now.Sub(p.Since).Seconds())
+			}
+			j.done.Add(p.Task)
+			j.nDone++
+			j.pendingDone[p.Task] = true
+			j.errors = 0
+			c.markDirty(j, false, now)
+		} else {
+			j.giveBack(p.Task)
+			if e.Cause != wire.CauseStopped && !j.cancelled {
+				c.Log.Info("task ended", "task", taskName(p.Key), "try", p.Attempt, "machine", p.Machine.ID, "cause", e.Cause)
+			}
+			switch e.Cause {
+			case wire.CauseError:
+				j.errors++
+				pause := tuning.ErrorBackoff << min(j.errors-1, 10)
+				j.restUntil = now.Add(min(pause, tuning.ErrorBackoffMax))
+				p.Machine.Failed(j.ref)
+			case wire.CauseNoRoom, wire.CauseBusy:
+				p.Machine.RestUntil = now.Add(tuning.MachineBackoff)
+			case wire.CauseUnknown:
+				j.restUntil = now.Add(tuning.MachineBackoff)
+			}
+			if j.gang() {
+				// The gang has lost a member: the rest cannot go on.
+				for _, q := range j.live {
+					c.stop(q, 0, now)
+				}
+			}
+		}
+	}
+}
+
+// stop orders a placement to end.
+func (c *Controller) stop(p *fleet.Placement, graceS float64, now time.Time) {
+	if p.Stopping && p.Grace <= graceS {
+		return
+	}
+	if !p.Recorded {
+		c.unplace(p, now) // its start was never sent
+		return
+	}
+	p.Stopping, p.Grace, p.StopAt = true, graceS, now
+}
+
+// unplace takes back a placement whose start was never sent.
+func (c *Controller) unplace(p *fleet.Placement, now time.Time) {
+	p.Machine.Drop(p, now)
+	if j := c.jobs[p.Job]; j != nil && j.live[p.Task] == p {
+		delete(j.live, p.Task)
+		j.giveBack(p.Task)
+	}
+}
+
+func (c *Controller) markDirty(j *job, urgent bool, now time.Time) {
+	if !j.dirty {
+		j.dirty, j.dirtyAt = true, now
+	}
+	j.urgent = j.urgent || urgent
+}
+
+func (c *Controller) cancelJob(j *job, now time.Time) {
+	c.Log.Info("job cancelled", "job", j.ref, "live", len(j.live))
+	j.cancelled = true
+	for _, p := range j.live {
+		c.stop(p, 0, now)
+	}
+}
+
+func (c *Controller) onEvents(m eventsMsg, now time.Time) {
+	for _, e := range m.events {
+		if e.Set != "" {
+			if _, run := ledger.SplitOpen(e.Set); !run {
+				c.setOpen(e.Set, e.Value, e.Version, now)
+			}
+		}
+	}
+	c.asOfFollow = m.asOf
+}
+
+// dispatch sends what is due to a machine directly.
+func (c *Controller) dispatch(m *fleet.Machine, now time.Time) {
+	if m.InFlight || !m.Up || m.Addr == "" || m.Session <= m.Lapsed {
+		return
+	}
+	var orders []wire.Order
+	for _, p := range m.Live {
+		if p.Stopping && p.Sent && now.Sub(p.StopAt) < tuning.TickEvery {
+			orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: taskName(p.Key), Attempt: p.Attempt, Grace: p.Grace})
+			p.StopAt = now.Add(-tuning.TickEvery) // the reports carry repeats
+		}
+	}
+	for _, p := range m.Outbox {
+		if m.Live[p.Key] != p || p.Sent {
+			continue
+		}
+		if p.Stopping || p.Session != m.Session || m.Shown < c.token() {
+			c.unplace(p, now) // never sent, so it can be taken back
+			continue
+		}
+		p.Sent = true
+		orders = append(orders, wire.Order{Verb: wire.VerbStart, Task: taskName(p.Key), Attempt: p.Attempt})
+	}
+	m.Outbox = m.Outbox[:0]
+	if len(orders) > 0 {
+		c.do(m, orders)
+	}
+}
+
+func (c *Controller) do(m *fleet.Machine, orders []wire.Order) {
+	m.InFlight = true
+	req, addr := wire.DoRequest{Token: m.Token, Session: m.Session, Orders: orders}, m.Addr
+	go func() {
+		rep, executed, err := c.Worker.Do(c.ctx, addr, req)
+		c.send(doMsg{m, rep, executed, err})
+	}()
+}
+
+func (c *Controller) onDo(d doMsg, now time.Time) {
+	d.m.InFlight = false
+	if d.err != nil {
+		// The commands may still be executed, even minutes later.
+		d.m.Unknown()
+		c.Log.Info("direct command unanswered", "machine", d.m.ID, "err", d.err)
+		return
+	}
+	if d.rep.Token>>tuning.BatonShift > c.term.N {
+		c.OnTerm(d.rep.Token >> tuning.BatonShift)
+		return
+	}
+	if d.rep.Machine == d.m.ID {
+		c.observe(d.m, d.rep, now)
+	}
+}
+
+func (c *Controller) bootS(m *fleet.Machine) float64 {
+	if i, ok := c.typeIdx[m.Type]; ok {
+		return c.types[i].BootS
+	}
+	worst := 0.0
+	for _, t := range c.types {
+		worst = math.Max(worst, t.BootS)
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/controller/estimate.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"math"
+
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// estimator corrects owners' run-time estimates by the class's recent average
+// of actual over estimated time (PAPER, "recent average runtime"). With fewer
+// than two completed tasks the owner's value stands, as in PAPER.
+type estimator struct {
+	off     bool
+	classes map[string]*classRuns
+}
+
+type classRuns struct {
+	n     int
+	ratio float64
+}
+
+func (e *estimator) done(d *wire.Job, took float64) {
+	if d.EstimateS <= 0 || took <= 0 {
+		return
+	}
+	c := e.classes[d.Class]
+	if c == nil {
+		c = &classRuns{}
+		e.classes[d.Class] = c
+	}
+	w := math.Max(tuning.EstimatorWeight, 1/float64(c.n+1))
+	c.ratio += w * (took/d.EstimateS - c.ratio)
+	c.n++
+}
+
+func (e *estimator) of(d *wire.Job) float64 {
+	if c := e.classes[d.Class]; !e.off && c != nil && c.n >= tuning.EstimatorMin {
+		return d.EstimateS * c.ratio
+	}
+	return d.EstimateS
+}
--- /dev/null
+++ b/internal/controller/job.go
@@ -0,0 +1,120 @@
+package controller
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/sched"
+	"marblehaven/internal/wire"
+)
+
+// job is an open job as the leader knows it.
+type job struct {
+	ref       string
+	desc      wire.Job
+	at        time.Time // time of day of acceptance
+	cancelled bool
+	openVer   uint64
+	runVer    uint64 // 0: no run record yet
+
+	next    uint64 // the next unused attempt
+	done    ledger.Ranges
+	nDone   int
+	live    map[int]*fleet.Placement
+	cursor  int   // tasks from here on were never started
+	requeue []int // tasks before the cursor that wait, sorted
+
+	dirty       bool         // the record lags behind what must be in it
+	urgent      bool         // it holds starts
+	dirtyAt     time.Time    // since when
+	pendingDone map[int]bool // done, not yet recorded: not to be reaped
+	restUntil   time.Time
+	errors      int
+	seenAt      time.Time // when the leader learnt of it
+}
+
+func newJob(ref string, o *ledger.OpenJob, ver uint64, now time.Time) *job {
+	return &job{ref: ref, desc: o.Job, at: time.UnixMilli(o.AtMS), cancelled: o.Cancelled, openVer: ver,
+		next: 1, live: map[int]*fleet.Placement{}, pendingDone: map[int]bool{}, seenAt: now}
+}
+
+// restore takes in the run record of an earlier leader.
+func (j *job) restore(r *ledger.Run, ver uint64) {
+	j.runVer, j.next, j.done = ver, max(1, r.Next), r.Done
+	j.nDone = j.done.Count()
+	for _, e := range j.done {
+		j.cursor = max(j.cursor, e[1]+1)
+	}
+	for _, p := range r.Live {
+		j.cursor = max(j.cursor, p.Task+1)
+	}
+	held := map[int]bool{}
+	for _, p := range r.Live {
+		held[p.Task] = true
+	}
+	for i := range j.cursor {
+		if !held[i] && !j.done.Has(i) {
+			j.requeue = append(j.requeue, i)
+		}
+	}
+}
+
+func (j *job) gang() bool { return j.desc.Shape == wire.Gang }
+
+// waiting is how many tasks may be started now. A gang starts whole: none while
+// anything of an earlier attempt may still be on a machine.
+func (j *job) waiting() int {
+	if j.cancelled || (j.gang() && len(j.live) > 0) {
+		return 0
+	}
+	return j.desc.Tasks - j.nDone - len(j.live)
+}
+
+func (j *job) over() bool { return len(j.live) == 0 && (j.cancelled || j.nDone >= j.desc.Tasks) }
+
+func (j *job) take() int {
+	if len(j.requeue) > 0 {
+		n := j.requeue[0]
+		j.requeue = j.requeue[1:]
+		return n
+	}
+	j.cursor++
+	return j.cursor - 1
+}
+
+func (j *job) giveBack(n int) {
+	if i, ok := slices.BinarySearch(j.requeue, n); !ok {
+		j.requeue = slices.Insert(j.requeue, i, n)
+	}
+}
+
+// record is the run record of the present state.
+func (j *job) record() ledger.Run {
+	r := ledger.Run{Next: j.next, Done: slices.Clone(j.done), Live: make([]ledger.Placement, 0, len(j.live))}
+	if r.Done == nil {
+		r.Done = ledger.Ranges{}
+	}
+	for n, p := range j.live {
+		r.Live = append(r.Live, ledger.Placement{Task: n, Attempt: p.Attempt, Machine: p.Machine.ID, Session: p.Session})
+	}
+	slices.SortFunc(r.Live, func(a, b ledger.Placement) int { return a.Task - b.Task })
+	return r
+}
+
+func (j *job) need() sched.Res { return sched.Need(&j.desc) }
+
+func (j *job) rank() int {
+	return slices.Index([]string{wire.Production, wire.High, wire.Standard, wire.Idle}, j.desc.Rank)
+}
+
+func taskName(k fleet.Key) string { return k.Job + "/" + strconv.Itoa(k.Task) }
+
+func parseTask(s string) (fleet.Key, bool) {
+	ref, num, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(num)
+	return fleet.Key{Job: ref, Task: n}, ok && err == nil && n >= 0
+}
--- /dev/null
+++ b/internal/controller/pass.go
@@ -0,0 +1,315 @@
+package controller
+
+import (
+	"errors"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"marblehaven/internal/cloud"
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/sched"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+func errorsIsNoCapacity(err error) bool { return errors.Is(err, cloud.ErrNoCapacity) }
+func errorsIsMalformed(err error) bool  { return errors.Is(err, cloud.ErrMalformed) }
+
+func (c *Controller) silence() time.Duration {
+	return seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentReports)
+}
+
+// onTick does what depends on time alone.
+func (c *Controller) onTick(now time.Time) {
+	var lost, stuck []*fleet.Machine
+	lagging := 6 * seconds(c.Config.Deployment.Cloud.ListLagS)
+	for id, at := range c.gone {
+		if now.Sub(at) > lagging {
+			delete(c.gone, id)
+		}
+	}
+	for _, m := range c.machines {
+		if m.Session > m.Lapsed || len(m.Live) > 0 {
+			if ended := m.Lapse(now); len(ended) > 0 {
+				c.Log.Info("lease over", "machine", m.ID, "tasks", len(ended))
+				c.end(ended, now)
+			}
+		}
+		switch {
+		case m.Leaving:
+		case m.Up && now.After(m.LeaseEnd.Add(tuning.SilentReturn)):
+			lost = append(lost, m)
+		case !m.Up && len(m.Live) == 0 && c.loadedTypes &&
+			now.Sub(m.Rented) > seconds(tuning.BootGiveUp*c.bootS(m)):
+			stuck = append(stuck, m)
+		case m.Up && m.Faulty && len(m.Live) == 0 && m.Settled():
+			lost = append(lost, m)
+		}
+		c.drain(m, now)
+		c.dispatch(m, now)
+	}
+	c.giveBack(lost, "silent or faulty")
+	c.giveBack(stuck, "never came up")
+	if !c.listing && now.After(c.nextList) {
+		c.listing = true
+		c.nextList = now.Add(tuning.CloudTick)
+		go func() {
+			ms, err := c.Cloud.List(c.ctx)
+			c.send(listMsg{ms, err})
+		}()
+	}
+	if now.After(c.catalogAt) {
+		c.catalogAt = now.Add(tuning.CatalogEvery)
+		save := !c.loadedTypes
+		go func() {
+			types, err := c.Cloud.Catalog(c.ctx)
+			for err != nil && wait(c.ctx, tuning.MachineBackoff) {
+				types, err = c.Cloud.Catalog(c.ctx)
+			}
+			if err == nil {
+				c.send(catalogMsg{types})
+				if save {
+					c.saveCatalog(c.ctx, types)
+				}
+			}
+		}()
+	}
+	c.callClaims(now)
+}
+
+// drain saves in time what can be saved on a machine that the cloud takes away.
+func (c *Controller) drain(m *fleet.Machine, now time.Time) {
+	if m.NoticeEnd.IsZero() {
+		return
+	}
+	left := m.NoticeEnd.Sub(now).Seconds()
+	for _, p := range m.Live {
+		j := c.jobs[p.Job]
+		if j == nil || p.Stopping || p.State != wire.TaskRunning || j.desc.CheckpointS <= 0 ||
+			left > j.desc.SaveS+tuning.NoticeMargin {
+			continue
+		}
+		grace := j.desc.SaveS + tuning.SaveMargin
+		c.stop(p, grace, now)
+		if j.gang() {
+			for _, q := range j.live {
+				c.stop(q, grace, now)
+			}
+		}
+	}
+}
+
+// pass decides and writes.
+func (c *Controller) pass(now time.Time) {
+	if c.loadedTypes && now.Sub(c.confirmed()) < tuning.StartAuthority {
+		c.decide(now)
+	}
+	c.commit(now)
+	for _, m := range c.machines {
+		c.dispatch(m, now)
+	}
+	c.callClaims(now)
+}
+
+func (c *Controller) decide(now time.Time) {
+	snap, jobs, machines := c.snapshot(now)
+	plan := sched.Decide(snap)
+	for _, st := range plan.Starts {
+		j, m := jobs[st.Job], machines[st.Machine]
+		for range st.Count {
+			n := j.take()
+			p := &fleet.Placement{Key: fleet.Key{Job: j.ref, Task: n}, Attempt: j.next, Session: m.Session, Machine: m, Since: now}
+			if !j.gang() {
+				j.next++
+			}
+			j.live[n], m.Live[p.Key] = p, p
+		}
+		if i, ok := c.typeIdx[m.Type]; ok {
+			m.TouchImage(j.desc.Image, j.desc.ImageGB, c.types[i].CacheGB)
+		}
+		c.markDirty(j, true, now)
+		c.Log.Debug("placing", "job", j.ref, "machine", m.ID, "count", st.Count)
+	}
+	for i, j := range jobs {
+		// One attempt number for the whole gang, the next for the next try.
+		if j.gang() && snap.Jobs[i].Waiting > 0 && len(j.live) > 0 {
+			j.next++
+		}
+	}
+	for _, st := range plan.Stops {
+		m, j := machines[st.Machine], jobs[st.Job]
+		c.Log.Info("making room", "machine", m.ID, "job", j.ref)
+		for _, p := range m.Live {
+			if p.Job == j.ref {
+				grace := 0.0
+				if j.desc.CheckpointS > 0 {
+					grace = j.desc.SaveS + tuning.SaveMargin
+				}
+				c.stop(p, grace, now)
+			}
+		}
+	}
+	for _, r := range plan.Rents {
+		c.rent(snap.Types[r.Type].Name, r.Zone, r.Spot, r.Count, now)
+	}
+	var back []*fleet.Machine
+	for _, i := range plan.Returns {
+		back = append(back, machines[i])
+	}
+	c.giveBack(back, "idle")
+	if now.Sub(c.summarized) >= tuning.StatusEvery {
+		c.summarized = now
+		c.summarize(snap, jobs, plan, now)
+	}
+}
+
+// dueIn is the time until D_k and the latest moment for the first start, if an
+// objective sets one, in seconds.
+func (c *Controller) dueIn(j *job, est float64, guaranteed bool, now time.Time) float64 {
+	age := now.Sub(j.at).Seconds()
+	due := math.Inf(1)
+	if j.desc.DeadlineS > 0 {
+		due = j.desc.DeadlineS
+	}
+	for _, o := range c.Config.Deployment.Objectives {
+		if o.WithinS <= 0 || (o.Class != j.desc.Class && o.Kind != "guarantee") {
+			continue
+		}
+		switch {
+		case o.Kind == "finished":
+			due = math.Min(due, o.WithinS)
+		case o.Kind == "wait", o.Kind == "guarantee" && guaranteed:
+			due = math.Min(due, o.WithinS+est)
+		}
+	}
+	if math.IsInf(due, 1) {
+		due = c.Config.Operator.DeadlineFactor * est
+	}
+	return due - age
+}
+
+func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
+	op := c.Config.Operator
+	s := &sched.Snapshot{Rho: op.Rho, GiveBack: op.GiveBackFactor, Refused: map[sched.Offer]bool{}}
+	for _, t := range c.types {
+		s.Types = append(s.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
+			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
+	}
+	teamIdx := map[string]int{}
+	for i, t := range c.Config.Deployment.Teams {
+		teamIdx[t.Name] = i
+		s.Teams = append(s.Teams, sched.Team{Max: sched.Res{Cores: t.CoresMax, Cards: t.CardsMax}})
+	}
+	var jobs []*job
+	for _, j := range c.jobs {
+		if _, ok := teamIdx[j.desc.Team]; ok {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		if d := a.at.Compare(b.at); d != 0 {
+			return d
+		}
+		return strings.Compare(a.ref, b.ref)
+	})
+	demand := make([]sched.Res, len(s.Teams))
+	jobIdx := make(map[string]int, len(jobs))
+	for i, j := range jobs {
+		ti := teamIdx[j.desc.Team]
+		need := j.need()
+		left := j.desc.Tasks - j.nDone
+		guaranteed := false
+		if !j.cancelled {
+			demand[ti] = demand[ti].Sub(need, -left)
+			g := c.Config.Deployment.Teams[ti]
+			guaranteed = (need.Cores <= 0 || demand[ti].Cores <= g.Cores+1e-9) && (need.Cards <= 0 || demand[ti].Cards <= g.Cards+1e-9)
+		}
+		est := c.est.of(&j.desc)
+		sj := sched.Job{Ref: j.ref, Desc: &j.desc, Need: need, Rank: j.rank(), Guaranteed: guaranteed, EstimateS: est,
+			Waiting: j.waiting(), Live: len(j.live), Team: ti, Resting: now.Before(j.restUntil),
+			DueS: c.dueIn(j, est, guaranteed, now), ZoneLive: map[string]int{}}
+		if room := c.maxLive - len(j.live); sj.Waiting > room && !j.gang() {
+			sj.Waiting = max(0, room) // more would not fit into the run record
+		}
+		for _, p := range j.live {
+			sj.ZoneLive[p.Machine.Zone]++
+		}
+		s.Teams[ti].Used = s.Teams[ti].Used.Sub(need, -len(j.live))
+		jobIdx[j.ref] = i
+		s.Jobs = append(s.Jobs, sj)
+	}
+	silence := c.silence()
+	var machines []*fleet.Machine
+	unsettled := 0
+	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
+		m := c.machines[id]
+		ti, ok := c.typeIdx[m.Type]
+		if !ok {
+			continue
+		}
+		sm := sched.Machine{ID: m.ID, Type: ti, Zone: m.Zone, Spot: m.Spot, Free: s.Types[ti].Total,
+			Ready: m.Usable(now, silence), Empty: len(m.Live) == 0 && len(m.Outbox) == 0, IdleS: now.Sub(m.IdleSince).Seconds()}
+		sm.Coming = !m.Up && !m.Leaving && now.Sub(m.Rented) < seconds(tuning.BootSlow*s.Types[ti].BootS)
+		if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
+			unsettled++
+		}
+		per := map[int]*sched.Running{}
+		for k, p := range m.Live {
+			ji, ok := jobIdx[k.Job]
+			if !ok {
+				sm.Ready = false
+				continue
+			}
+			sm.Free = sm.Free.Sub(s.Jobs[ji].Need, 1)
+			r := per[ji]
+			if r == nil {
+				r = &sched.Running{Job: ji, Stopping: true}
+				per[ji] = r
+			}
+			r.Count++
+			r.Stopping = r.Stopping && p.Stopping
+		}
+		for _, r := range per {
+			sm.Tasks = append(sm.Tasks, *r)
+		}
+		sm.HasImage = imageSet{m}.of(s.Jobs)
+		s.Machines = append(s.Machines, sm)
+		machines = append(machines, m)
+	}
+	for _, cl := range c.claims {
+		// Asked for and not answered: this room counts as coming.
+		if ti, ok := c.typeIdx[cl.Type]; ok && !cl.settled {
+			for range cl.Count {
+				s.Machines = append(s.Machines, sched.Machine{Type: ti, Zone: cl.Zone, Spot: cl.Spot, Free: s.Types[ti].Total, Coming: true})
+				machines = append(machines, nil)
+			}
+		}
+	}
+	for o, r := range c.refused {
+		if ti, ok := c.typeIdx[o.typ]; ok && now.Before(r.until) {
+			s.Refused[sched.Offer{Type: ti, Zone: o.zone, Spot: o.spot}] = true
+		}
+	}
+	// After a takeover nothing is rented or given back before the list and the
+	// reports are in: what runs already would be rented for again.
+	settledIn := now.Sub(c.takeover) > 2*seconds(c.Config.Deployment.Workers.ReportS)
+	s.MayRent = c.listed && (settledIn || unsettled == 0)
+	s.MayReturn = c.listed && settledIn
+	return s, jobs, machines
+}
+
+type imageSet struct{ m *fleet.Machine }
+
+// of asks the machine about the images that matter in this pass only.
+func (i imageSet) of(jobs []sched.Job) map[string]bool {
+	out := map[string]bool{}
+	for k := range jobs {
+		if name := jobs[k].Desc.Image; jobs[k].Waiting > 0 && i.m.HasImage(name) {
+			out[name] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/sched"
+	"marblehaven/internal/tuning"
+)
+
+// Status is the summary on the status page.
+type Status struct {
+	Term     uint64         `msgpack:"t"`
+	CloudOK  bool           `msgpack:"c"`
+	Classes  []ClassStatus  `msgpack:"k"`
+	Machines []MachineCount `msgpack:"m"`
+	Behind   []Behind       `msgpack:"b"`
+}
+
+// ClassStatus counts the open jobs of a class.
+type ClassStatus struct {
+	Class   string `msgpack:"c"`
+	Waiting int    `msgpack:"w"`
+	Running int    `msgpack:"r"`
+	Late    int    `msgpack:"l"`
+}
+
+// MachineCount counts machines of a type.
+type MachineCount struct {
+	Type  string `msgpack:"t"`
+	Spot  bool   `msgpack:"s"`
+	Up    int    `msgpack:"u"`
+	Other int    `msgpack:"o"`
+}
+
+// Behind is player-facing production work that waits longer than it should.
+type Behind struct {
+	Job     string  `msgpack:"j"`
+	Class   string  `msgpack:"c"`
+	Missing int     `msgpack:"m"`
+	SinceS  float64 `msgpack:"s"`
+}
+
+func (c *Controller) summarize(s *sched.Snapshot, jobs []*job, plan sched.Plan, now time.Time) {
+	st := Status{Term: c.term.N, CloudOK: c.cloudOK}
+	late := map[int]bool{}
+	for _, i := range plan.Late {
+		late[i] = true
+	}
+	classes := map[string]*ClassStatus{}
+	for i, j := range jobs {
+		if j.cancelled {
+			continue
+		}
+		k := classes[j.desc.Class]
+		if k == nil {
+			k = &ClassStatus{Class: j.desc.Class}
+			classes[j.desc.Class] = k
+		}
+		waiting := j.desc.Tasks - j.nDone - len(j.live)
+		switch {
+		case waiting > 0 && len(j.live) == 0:
+			k.Waiting++
+		default:
+			k.Running++
+		}
+		if s.Jobs[i].DueS < 0 && s.Jobs[i].Rank > 0 || late[i] {
+			k.Late++
+		}
+		if s.Jobs[i].Rank == 0 && waiting > 0 && now.Sub(j.at) > tuning.ErrorLogEvery {
+			st.Behind = append(st.Behind, Behind{j.ref, j.desc.Class, waiting, now.Sub(j.at).Seconds()})
+		}
+	}
+	for _, k := range classes {
+		st.Classes = append(st.Classes, *k)
+	}
+	slices.SortFunc(st.Classes, func(a, b ClassStatus) int { return cmp.Compare(a.Class, b.Class) })
+	counts := map[[2]any]*MachineCount{}
+	for _, m := range c.machines {
+		key := [2]any{m.Type, m.Spot}
+		k := counts[key]
+		if k == nil {
+			k = &MachineCount{Type: m.Type, Spot: m.Spot}
+			counts[key] = k
+		}
+		if c.up(m, now) {
+			k.Up++
+		} else {
+			k.Other++
+		}
+	}
+	for _, k := range counts {
+		st.Machines = append(st.Machines, *k)
+	}
+	slices.SortFunc(st.Machines, func(a, b MachineCount) int { return cmp.Compare(a.Type, b.Type) })
+	c.status = st
+	if len(st.Behind) > 0 && now.Sub(c.lateLogged) > tuning.LateLogEvery {
+		c.lateLogged = now
+		c.Log.Error("liaison: player-facing production work is behind", "jobs", len(st.Behind), "first", st.Behind[0].Job)
+	}
+}
+
+func (c *Controller) up(m *fleet.Machine, now time.Time) bool {
+	return m.Up && now.Sub(m.LastReport) <= c.silence()
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,205 @@
+// Package election takes and keeps terms. Safety does not rest on it: every
+// write of a leader is guarded by the term key, so a late leader's writes fail.
+package election
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// Held is a term that this node holds.
+type Held struct {
+	N     uint64
+	Stamp uint64 // version of the term key: the guard of all the leader's writes
+}
+
+// Keeper runs elections for one node.
+type Keeper struct {
+	store *statestore.Client
+	node  string
+	log   *slog.Logger
+
+	leader atomic.Pointer[ledger.Term]        // as last seen; nil: none known
+	depose atomic.Pointer[func(newer uint64)] // while leading
+}
+
+// New makes a keeper.
+func New(store *statestore.Client, node string, log *slog.Logger) *Keeper {
+	return &Keeper{store: store, node: node, log: log}
+}
+
+// Leader is who led last, as far as this node knows.
+func (k *Keeper) Leader() (ledger.Term, bool) {
+	if t := k.leader.Load(); t != nil {
+		return *t, true
+	}
+	return ledger.Term{}, false
+}
+
+// Observe takes in a term heard of from a peer or a worker. A newer one than
+// our own ends our leadership at once.
+func (k *Keeper) Observe(t ledger.Term) {
+	for {
+		cur := k.leader.Load()
+		if cur != nil && cur.N >= t.N {
+			return
+		}
+		if k.leader.CompareAndSwap(cur, &t) {
+			break
+		}
+	}
+	if f := k.depose.Load(); f != nil {
+		(*f)(t.N)
+	}
+}
+
+// Run takes part in elections until ctx ends. lead is called with each term
+// held; its context ends with the term.
+func (k *Keeper) Run(ctx context.Context, lead func(context.Context, Held)) {
+	for ctx.Err() == nil {
+		held, grant, rev, err := k.attempt(ctx)
+		switch {
+		case held != nil:
+			k.log.Info("leading", "term", held.N)
+			k.leader.Store(&ledger.Term{N: held.N, Node: k.node})
+			k.hold(ctx, *held, grant, lead)
+			k.log.Info("no longer leading", "term", held.N)
+		case err != nil:
+			k.log.Debug("election", "err", err)
+			sleep(ctx, tuning.ElectionRetry)
+		default:
+			k.watch(ctx, rev)
+		}
+	}
+}
+
+// attempt takes the term if nobody holds it. It returns the revision to watch
+// from when somebody does.
+func (k *Keeper) attempt(ctx context.Context) (*Held, uint64, uint64, error) {
+	var guard uint64
+	it, err := k.store.Get(ctx, ledger.KeyLeader)
+	if err == nil {
+		var t ledger.Term
+		if err := wire.Unmarshal(it.Value, &t); err != nil {
+			return nil, 0, 0, err
+		}
+		if t.Node != k.node {
+			k.Observe(t)
+			return nil, 0, it.Version, nil
+		}
+		// We are named but do not lead: this is an earlier process of ours,
+		// which is gone, or a lost term. It need not be waited out.
+		guard = it.Version
+	} else if !errors.Is(err, statestore.ErrNotFound) {
+		return nil, 0, 0, err
+	}
+	var term ledger.Term
+	var termGuard uint64
+	it, err = k.store.Get(ctx, ledger.KeyTerm)
+	if err == nil {
+		if err := wire.Unmarshal(it.Value, &term); err != nil {
+			return nil, 0, 0, err
+		}
+		termGuard = it.Version
+	} else if !errors.Is(err, statestore.ErrNotFound) {
+		return nil, 0, 0, err
+	}
+	grant, err := k.store.NewGrant(ctx, tuning.GrantLife)
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	mine := ledger.Term{N: term.N + 1, Node: k.node}
+	r, err := k.store.Commit(ctx, wire.Commit{
+		Guards: []wire.Guard{{Key: ledger.KeyLeader, Version: guard}, {Key: ledger.KeyTerm, Version: termGuard}},
+		Changes: []wire.Change{
+			{Set: ledger.KeyTerm, Value: mine},
+			{Set: ledger.KeyLeader, Value: mine, Lease: grant},
+		},
+	})
+	if err != nil {
+		return nil, 0, 0, err // if it was applied after all, the next attempt finds our own name
+	}
+	return &Held{N: mine.N, Stamp: r.Revision}, grant, 0, nil
+}
+
+// hold leads until the term is lost.
+func (k *Keeper) hold(ctx context.Context, held Held, grant uint64, lead func(context.Context, Held)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	depose := func(newer uint64) {
+		if newer > held.N {
+			cancel()
+		}
+	}
+	k.depose.Store(&depose)
+	defer k.depose.Store(nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lead(ctx, held)
+		cancel()
+	}()
+	for sleep(ctx, tuning.GrantTouch) {
+		err := k.store.Touch(ctx, grant)
+		if !errors.Is(err, statestore.ErrNoLease) {
+			continue
+		}
+		// The grant ran out, for instance while this process was held up. If
+		// nobody took the term, the leader key is put up again.
+		if grant, err = k.store.NewGrant(ctx, tuning.GrantLife); err != nil {
+			continue
+		}
+		_, err = k.store.Commit(ctx, wire.Commit{
+			Guards:  []wire.Guard{{Key: ledger.KeyTerm, Version: held.Stamp}},
+			Changes: []wire.Change{{Set: ledger.KeyLeader, Value: ledger.Term{N: held.N, Node: k.node}, Lease: grant}},
+		})
+		if errors.Is(err, statestore.ErrConflict) {
+			cancel()
+		}
+	}
+	<-done
+}
+
+// watch waits until the leader key goes, or until the state service cannot be
+// followed.
+func (k *Keeper) watch(ctx context.Context, rev uint64) {
+	for ctx.Err() == nil {
+		ev, err := k.store.Follow(ctx, ledger.KeyLeader, rev, tuning.LeaderFollowHold)
+		if err != nil {
+			sleep(ctx, tuning.ElectionRetry)
+			return
+		}
+		rev = ev.Revision
+		for _, e := range ev.Events {
+			if e.Delete == ledger.KeyLeader {
+				return
+			}
+			var t ledger.Term
+			if e.Set == ledger.KeyLeader && wire.Unmarshal(e.Value, &t) == nil {
+				k.Observe(t)
+				if t.Node == k.node {
+					return
+				}
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,214 @@
+// Package fleet keeps what is known of machines and what may be on them. Its
+// one duty for the rules: a placement is released on proof only.
+package fleet
+
+import (
+	"time"
+
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// Key names a task of a job.
+type Key struct {
+	Job  string
+	Task int
+}
+
+// Placement is a task that may be on a machine.
+type Placement struct {
+	Key
+	Attempt uint64
+	Session uint64
+	Machine *Machine
+	// Recorded: it is in the ledger, so its start may be sent.
+	Recorded bool
+	// Sent: its start may have left this or an earlier leader.
+	Sent bool
+	// Confirmed: the worker has shown it.
+	Confirmed bool
+	State     string    // as last reported
+	Since     time.Time // of the last change of State
+	Stopping  bool      // a stop was ordered
+	Grace     float64   // the stop's, in seconds
+	StopAt    time.Time // when the stop was first ordered
+	ByCommand bool      // ended because we stopped it
+}
+
+// Machine is a rented machine. The leader's actor owns it.
+type Machine struct {
+	ID, Addr, Type, Zone string
+	Spot                 bool
+
+	Session, Seq uint64 // of the newest report
+	Shown        uint64 // the highest token that the worker has shown
+	Token        uint64 // the token we use towards this worker
+	LastReport   time.Time
+	LeaseEnd     time.Time // after it, what was on it in its session is gone
+	Lapsed       uint64    // the session that has surely ended
+	NoticeEnd    time.Time // when the cloud takes it; zero: no notice
+	Rented       time.Time
+	IdleSince    time.Time
+	RestUntil    time.Time
+	Up           bool // has reported
+	Leaving      bool // is being given back
+	InFlight     bool // a direct command is under way
+	Alien        int  // reported tasks that we have no record of and that still run
+	Faulty       bool
+
+	Live     map[Key]*Placement
+	Reported []wire.TaskReport
+	Outbox   []*Placement // recorded, to be sent
+	failed   map[string]bool
+	images   []image // most recent first
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// New makes a machine known by its name only.
+func New(id string, token uint64, now time.Time, leaseEnd time.Time) *Machine {
+	return &Machine{ID: id, Token: token, Rented: now, IdleSince: now, LeaseEnd: leaseEnd,
+		Live: map[Key]*Placement{}, failed: map[string]bool{}}
+}
+
+// Settled tells whether nothing that we or an earlier leader sent can still
+// change what the newest report says.
+func (m *Machine) Settled() bool { return !m.InFlight && m.Up && m.Shown >= m.Token }
+
+// Usable tells whether new work may be placed.
+func (m *Machine) Usable(now time.Time, silent time.Duration) bool {
+	return m.Settled() && !m.Leaving && !m.Faulty && m.Alien == 0 && m.Session > m.Lapsed &&
+		m.NoticeEnd.IsZero() && now.After(m.RestUntil) && now.Sub(m.LastReport) <= silent
+}
+
+// Ended is a placement that is over, with the cause the worker gave, or "" when
+// it is gone without a word.
+type Ended struct {
+	*Placement
+	Cause string
+	Saved bool
+}
+
+// Observe takes in a report and returns the placements that it ends. A report
+// that is not newer than the last one changes nothing: fresh is false.
+func (m *Machine) Observe(r *wire.Report, parse func(string) (Key, bool), now time.Time) (ended []Ended, fresh bool) {
+	if r.Session < m.Session || (r.Session == m.Session && r.Seq <= m.Seq) || r.Session <= m.Lapsed {
+		return nil, false
+	}
+	newSession := r.Session > m.Session
+	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
+	m.Session, m.Seq, m.Up, m.LastReport = r.Session, r.Seq, true, now
+	m.Shown = max(m.Shown, r.Token)
+	if r.Notice != nil {
+		m.NoticeEnd = now.Add(time.Duration(*r.Notice * float64(time.Second)))
+	} else {
+		m.NoticeEnd = time.Time{}
+	}
+	if newSession {
+		// A higher tenure proves that all of the earlier ones' tasks are gone
+		// and that commands still under way for them will be refused.
+		for _, p := range m.Live {
+			if p.Session < r.Session {
+				ended = append(ended, Ended{Placement: p})
+			}
+		}
+		m.images = nil
+	}
+	m.Reported = r.Tasks
+	m.Alien = 0
+	shown := make(map[Key]*wire.TaskReport, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		k, ok := parse(t.Task)
+		p := m.Live[k]
+		if ok && p != nil && p.Attempt == t.Attempt && p.Session == r.Session {
+			shown[k] = t
+		} else if t.State != wire.TaskExited {
+			m.Alien++
+		}
+	}
+	for k, p := range m.Live {
+		if p.Session != r.Session {
+			continue
+		}
+		t := shown[k]
+		switch {
+		case t != nil && t.State == wire.TaskExited:
+			// The worker ignores a repeated start as long as it lists the
+			// attempt, so the placement is over although a start may be late.
+			p.Confirmed = true
+			ended = append(ended, Ended{Placement: p, Cause: t.Cause, Saved: t.Saved})
+		case t != nil:
+			p.Confirmed, p.Sent = true, true
+			if p.State != t.State {
+				p.State, p.Since = t.State, now
+			}
+		case p.Confirmed, p.Sent && m.Settled():
+			// Absent: proof only if no start of it can be under way. An
+			// unsettled start may still arrive (late /do).
+			ended = append(ended, Ended{Placement: p})
+		}
+	}
+	return ended, true
+}
+
+// Lapse ends everything of a session whose lease is surely over.
+func (m *Machine) Lapse(now time.Time) (ended []Ended) {
+	if !now.After(m.LeaseEnd) {
+		return nil
+	}
+	for _, p := range m.Live {
+		ended = append(ended, Ended{Placement: p})
+		m.Lapsed = max(m.Lapsed, p.Session)
+	}
+	m.Lapsed = max(m.Lapsed, m.Session)
+	return ended
+}
+
+// Drop forgets a placement that is over.
+func (m *Machine) Drop(p *Placement, now time.Time) {
+	if m.Live[p.Key] == p {
+		delete(m.Live, p.Key)
+		if len(m.Live) == 0 {
+			m.IdleSince = now
+		}
+	}
+}
+
+// Unknown notes that a command's outcome is unknown: it may run late. The
+// higher token makes the worker refuse it once the token was shown.
+func (m *Machine) Unknown() { m.Token++ }
+
+// Failed notes that a task of a job failed here. Different jobs failing on one
+// machine show that it is the machine.
+func (m *Machine) Failed(job string) {
+	m.failed[job] = true
+	m.Faulty = len(m.failed) >= tuning.FaultyJobs
+}
+
+// TouchImage notes that an image is on the machine, and forgets the least
+// recently used ones beyond the cache's size.
+func (m *Machine) TouchImage(name string, gb, cacheGB float64) {
+	kept := append(make([]image, 0, len(m.images)+1), image{name, gb})
+	sum := gb
+	for _, im := range m.images {
+		if im.name != name && sum+im.gb <= cacheGB {
+			sum += im.gb
+			kept = append(kept, im)
+		}
+	}
+	m.images = kept
+}
+
+// HasImage tells whether an image is believed to be cached.
+func (m *Machine) HasImage(name string) bool {
+	for _, im := range m.images {
+		if im.name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,136 @@
+// Package ledger defines the durable records and their keys.
+//
+// An open job is o/<ref> and, once it was worked on, o/<ref>/t. A finished job
+// is d/<ref>. Closing moves a job from one to the other in one commit, so at
+// every moment an accepted job is at exactly one of them: whoever finds neither
+// may say that the job is not known.
+package ledger
+
+import (
+	"slices"
+	"strings"
+
+	"marblehaven/internal/wire"
+)
+
+// Keys of single records and prefixes of the others.
+const (
+	KeyTerm    = "term"
+	KeyLeader  = "leader"
+	KeyCatalog = "catalog"
+	PrefixOpen = "o/"
+	PrefixRent = "r/"
+)
+
+// OpenKey, RunKey, FinalKey and ClaimKey name a job's and a claim's records.
+func OpenKey(ref string) string  { return PrefixOpen + ref }
+func RunKey(ref string) string   { return PrefixOpen + ref + "/t" }
+func FinalKey(ref string) string { return "d/" + ref }
+func ClaimKey(c string) string   { return PrefixRent + c }
+
+// SplitOpen takes an open or run key apart.
+func SplitOpen(key string) (ref string, run bool) {
+	ref = strings.TrimPrefix(key, PrefixOpen)
+	if r, ok := strings.CutSuffix(ref, "/t"); ok {
+		return r, true
+	}
+	return ref, false
+}
+
+// Term says who leads. The term key outlives every leader; the leader key,
+// with the same content, hangs on the leader's grant.
+type Term struct {
+	N    uint64 `msgpack:"n"`
+	Node string `msgpack:"node"`
+}
+
+// OpenJob is an accepted job that is not over.
+type OpenJob struct {
+	Job       wire.Job `msgpack:"j"`
+	AtMS      int64    `msgpack:"a"` // time of day of acceptance
+	Cancelled bool     `msgpack:"c,omitempty"`
+}
+
+// Placement is a task that may be on a machine.
+type Placement struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Task     int
+	Attempt  uint64
+	Machine  string
+	Session  uint64
+}
+
+// Run is what was done about an open job. Live holds every task that may be on
+// a machine: it is written before a start is sent, and shrinks on proof only.
+type Run struct {
+	Next uint64      `msgpack:"n"` // the next unused attempt number
+	Done Ranges      `msgpack:"d"`
+	Live []Placement `msgpack:"l"`
+}
+
+// Final is the last word on a job.
+type Final struct {
+	Phase string `msgpack:"p"`
+	Tasks int    `msgpack:"n"`
+}
+
+// Claim is a rental, written before its call. A claim's name is never reused.
+type Claim struct {
+	Claim string `msgpack:"c"`
+	Type  string `msgpack:"t"`
+	Zone  string `msgpack:"z"`
+	Spot  bool   `msgpack:"s"`
+	Count int    `msgpack:"n"`
+	AtMS  int64  `msgpack:"a"`
+}
+
+// Ranges is a set of task numbers as sorted, disjoint, closed ranges, so that a
+// job of 100,000 finished tasks takes a few bytes.
+type Ranges [][2]int
+
+func (r Ranges) find(n int) (int, bool) {
+	return slices.BinarySearchFunc(r, n, func(e [2]int, n int) int {
+		switch {
+		case e[1] < n:
+			return -1
+		case e[0] > n:
+			return 1
+		}
+		return 0
+	})
+}
+
+// Has tells whether n is in the set.
+func (r Ranges) Has(n int) bool { _, ok := r.find(n); return ok }
+
+// Add puts n into the set.
+func (r *Ranges) Add(n int) {
+	i, ok := r.find(n)
+	if ok {
+		return
+	}
+	s := *r
+	left := i > 0 && s[i-1][1] == n-1
+	right := i < len(s) && s[i][0] == n+1
+	switch {
+	case left && right:
+		s[i-1][1] = s[i][1]
+		s = slices.Delete(s, i, i+1)
+	case left:
+		s[i-1][1] = n
+	case right:
+		s[i][0] = n
+	default:
+		s = slices.Insert(s, i, [2]int{n, n})
+	}
+	*r = s
+}
+
+// Count is the size of the set.
+func (r Ranges) Count() int {
+	n := 0
+	for _, e := range r {
+		n += e[1] - e[0] + 1
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,521 @@
+// Package sched decides, after DRPA, what runs where and what is rented. It is
+// pure: a snapshot in, a plan out; no clock, no I/O.
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"marblehaven/internal/wire"
+)
+
+const eps = 1e-9
+
+// Res is an amount of machine resources.
+type Res struct{ Cores, Cards, Mem float64 }
+
+// Sub takes n times r away.
+func (a Res) Sub(r Res, n int) Res {
+	f := float64(n)
+	return Res{a.Cores - f*r.Cores, a.Cards - f*r.Cards, a.Mem - f*r.Mem}
+}
+
+// Slots is how often need fits into a.
+func (a Res) Slots(need Res) int {
+	n := math.MaxInt32
+	for _, p := range [][2]float64{{a.Cores, need.Cores}, {a.Cards, need.Cards}, {a.Mem, need.Mem}} {
+		if p[1] > 0 {
+			n = min(n, int(math.Floor(p[0]/p[1]+eps)))
+		}
+	}
+	return max(0, n)
+}
+
+// Type is a machine type with its current prices per hour.
+type Type struct {
+	Name             string
+	Total            Res
+	Price, SpotPrice float64
+	BootS, FetchGBps float64
+	Zones            []string
+}
+
+// PriceOf is the price per hour of the kind.
+func (t *Type) PriceOf(spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// Running is a task on a machine that could make room.
+type Running struct {
+	Job      int // index in Snapshot.Jobs
+	Count    int
+	Stopping bool
+}
+
+// Machine is a machine as seen at the snapshot.
+type Machine struct {
+	ID       string
+	Type     int
+	Zone     string
+	Spot     bool
+	Free     Res
+	Ready    bool            // may be given work now
+	Coming   bool            // boots: its room counts as coming
+	Empty    bool            // nothing may be on it
+	IdleS    float64         // how long it has been empty
+	HasImage map[string]bool // nil: none
+	Tasks    []Running
+}
+
+// Job is a job with tasks waiting.
+type Job struct {
+	Ref        string
+	Desc       *wire.Job
+	Need       Res
+	Rank       int // 0 is production
+	Guaranteed bool
+	AgeS       float64
+	DueS       float64 // seconds from now until it should be complete
+	EstimateS  float64
+	Waiting    int // tasks to be started
+	Live       int
+	ZoneLive   map[string]int
+	Resting    bool // backs off after failures
+	Team       int
+}
+
+// Team is a team's use and its limit; a limit of 0 is none.
+type Team struct {
+	Used, Max Res
+}
+
+// Offer is something that can be rented.
+type Offer struct {
+	Type int
+	Zone string
+	Spot bool
+}
+
+// Snapshot is all that decisions are made from.
+type Snapshot struct {
+	Types     []Type
+	Machines  []Machine
+	Jobs      []Job
+	Teams     []Team
+	Refused   map[Offer]bool // no capacity lately
+	Rho       float64
+	GiveBack  float64 // times boot time
+	MayRent   bool
+	MayReturn bool
+}
+
+// Start puts Count tasks of a job on a machine.
+type Start struct{ Job, Machine, Count int }
+
+// Rent asks for Count machines.
+type Rent struct {
+	Offer
+	Count int
+}
+
+// Stop makes room: all tasks of Job on Machine are stopped.
+type Stop struct{ Machine, Job int }
+
+// Plan is what to do.
+type Plan struct {
+	Starts  []Start
+	Stops   []Stop
+	Rents   []Rent
+	Returns []int
+	// Late marks jobs (by index) whose slack is spent while tasks wait.
+	Late []int
+}
+
+// Order sorts job indices by who is served first: player-facing production
+// work, then work within a guarantee, then rank, then slack.
+func Order(s *Snapshot) []int {
+	idx := make([]int, len(s.Jobs))
+	for i := range idx {
+		idx[i] = i
+	}
+	slices.SortStableFunc(idx, func(a, b int) int {
+		x, y := &s.Jobs[a], &s.Jobs[b]
+		return cmp.Or(
+			cmpBool(x.Rank == 0, y.Rank == 0),
+			cmpBool(x.Guaranteed, y.Guaranteed),
+			cmp.Compare(x.Rank, y.Rank),
+			cmp.Compare(x.DueS-x.EstimateS, y.DueS-y.EstimateS),
+			cmp.Compare(x.Ref, y.Ref))
+	})
+	return idx
+}
+
+func cmpBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	}
+	return 1
+}
+
+// CardsOnly tells for a job whether it must keep off machines with cards: work
+// without need of cards would keep dear machines from the work that needs them.
+func cardless(s *Snapshot, j *Job) bool {
+	if j.Need.Cards > 0 {
+		return false
+	}
+	for i := range s.Types {
+		if s.Types[i].Total.Cards == 0 && TypeFits(&s.Types[i], j.Desc) {
+			return true
+		}
+	}
+	return false
+}
+
+// Need is what a task takes.
+func Need(j *wire.Job) Res { return Res{j.Cores, j.Cards, j.MemGB} }
+
+// TypeFits tells whether a task of the job can run on an empty machine of the
+// type in some zone that the job allows.
+func TypeFits(t *Type, j *wire.Job) bool {
+	return (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) &&
+		(j.Zone == "" || slices.Contains(t.Zones, j.Zone)) && t.Total.Slots(Need(j)) > 0
+}
+
+// ZoneRoom is how many more tasks of the job may be in the zone.
+func ZoneRoom(d *wire.Job, zoneLive map[string]int, zone string) int {
+	if d.Zone != "" && d.Zone != zone {
+		return 0
+	}
+	if d.OneZone {
+		for z, n := range zoneLive {
+			if n > 0 && z != zone {
+				return 0
+			}
+		}
+	}
+	if d.Spread {
+		return max(0, (d.Tasks+1)/2-zoneLive[zone])
+	}
+	return d.Tasks
+}
+
+type planner struct {
+	s    *Snapshot
+	plan Plan
+	// coming rooms: booting machines and what this plan rents
+	pool []Machine
+}
+
+// Decide makes the plan.
+func Decide(s *Snapshot) Plan {
+	p := &planner{s: s, pool: slices.Clone(s.Machines)}
+	taken := make([]bool, len(s.Machines))
+	var ahead, held, aheadG, heldG float64
+	for i := range s.Machines {
+		m := &s.Machines[i]
+		if m.Ready || m.Coming || len(m.Tasks) > 0 {
+			if t := s.Types[m.Type].Total; t.Cards > 0 {
+				heldG += t.Cards
+			} else {
+				held += t.Cores
+			}
+		}
+	}
+	teams := slices.Clone(s.Teams)
+	for _, ji := range Order(s) {
+		j := &s.Jobs[ji]
+		n := j.Waiting
+		if n == 0 || j.Resting {
+			continue
+		}
+		n = min(n, quota(&teams[j.Team], j.Need))
+		gang := j.Desc.Shape == wire.Gang
+		if n == 0 || (gang && n < j.Waiting) {
+			continue
+		}
+		keepOff := cardless(s, j)
+		zones := map[string]int{}
+		for z, c := range j.ZoneLive {
+			zones[z] = c
+		}
+		// Held machines first (P1): least price times estimate.
+		got := p.place(ji, n, zones, keepOff, gang, false)
+		teams[j.Team].Used = teams[j.Team].Used.Sub(j.Need, -got)
+		for _, st := range p.plan.Starts {
+			taken[st.Machine] = true
+		}
+		n -= got
+		if n == 0 {
+			continue
+		}
+		// The estimate includes what waits ahead for the same held room, so
+		// that W_k is spent while renting still helps.
+		work := float64(n) * j.EstimateS
+		queue := 0.0
+		if j.Need.Cards > 0 {
+			aheadG += work * j.Need.Cards
+			queue = aheadG / math.Max(heldG, eps)
+		} else {
+			ahead += work * j.Need.Cores
+			queue = ahead / math.Max(held, eps)
+		}
+		boot := bootOf(s, j)
+		slack := math.Max(0, j.DueS-s.Rho*(j.EstimateS+math.Min(queue, 1e6))-boot)
+		if j.Rank == 0 {
+			p.makeRoom(ji, n, zones, keepOff)
+		}
+		coming := p.place(ji, n, zones, keepOff, gang, true)
+		n -= coming
+		if slack > 0 || n == 0 {
+			continue
+		}
+		p.plan.Late = append(p.plan.Late, ji)
+		if s.MayRent {
+			p.rent(ji, n, zones, keepOff, gang)
+		}
+	}
+	if s.MayReturn {
+		for i := range s.Machines {
+			m := &s.Machines[i]
+			if m.Ready && m.Empty && !taken[i] && m.IdleS >= s.GiveBack*s.Types[m.Type].BootS {
+				p.plan.Returns = append(p.plan.Returns, i)
+			}
+		}
+	}
+	return p.plan
+}
+
+func quota(t *Team, need Res) int {
+	n := math.MaxInt32
+	for _, q := range [][3]float64{{t.Max.Cores, t.Used.Cores, need.Cores}, {t.Max.Cards, t.Used.Cards, need.Cards}} {
+		if q[0] > 0 && q[2] > 0 {
+			n = min(n, int(math.Floor((q[0]-q[1])/q[2]+eps)))
+		}
+	}
+	return max(0, n)
+}
+
+func bootOf(s *Snapshot, j *Job) float64 {
+	best, boot := math.Inf(1), 0.0
+	for i := range s.Types {
+		t := &s.Types[i]
+		if TypeFits(t, j.Desc) && t.Price < best {
+			best, boot = t.Price, t.BootS+fetchS(t, j.Desc)
+		}
+	}
+	return boot
+}
+
+func fetchS(t *Type, d *wire.Job) float64 {
+	if t.FetchGBps <= 0 {
+		return 0
+	}
+	return d.ImageGB / t.FetchGBps
+}
+
+func (p *planner) allowed(m *Machine, d *wire.Job, keepOff bool) bool {
+	t := &p.s.Types[m.Type]
+	return (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && (!m.Spot || d.Spot) &&
+		!(keepOff && t.Total.Cards > 0)
+}
+
+// place puts up to n tasks on ready machines (or, with coming, counts them
+// against machines that boot) and returns how many found room.
+func (p *planner) place(ji, n int, zones map[string]int, keepOff, gang, coming bool) int {
+	j := &p.s.Jobs[ji]
+	d := j.Desc
+	type cand struct {
+		m          int
+		cost, left float64
+	}
+	var cands []cand
+	for i := range p.pool {
+		m := &p.pool[i]
+		if (coming && !m.Coming) || (!coming && !m.Ready) || !p.allowed(m, d, keepOff) {
+			continue
+		}
+		if m.Free.Slots(j.Need) == 0 || ZoneRoom(d, zones, m.Zone) == 0 {
+			continue
+		}
+		t := &p.s.Types[m.Type]
+		est := j.EstimateS
+		if !m.HasImage[d.Image] {
+			est += fetchS(t, d)
+		}
+		share := 1 / float64(max(1, t.Total.Slots(j.Need)))
+		cands = append(cands, cand{i, t.PriceOf(m.Spot) * share * math.Max(est, 1), m.Free.Cores})
+	}
+	slices.SortStableFunc(cands, func(a, b cand) int {
+		// Equal cost: the fuller machine, so that others empty.
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.left, b.left))
+	})
+	try := func(only string) ([]Start, int) {
+		var starts []Start
+		z := map[string]int{}
+		for k, v := range zones {
+			z[k] = v
+		}
+		left := n
+		for _, c := range cands {
+			m := &p.pool[c.m]
+			if only != "" && m.Zone != only {
+				continue
+			}
+			k := min(left, m.Free.Slots(j.Need), ZoneRoom(d, z, m.Zone))
+			if k <= 0 {
+				continue
+			}
+			starts = append(starts, Start{ji, c.m, k})
+			z[m.Zone] += k
+			if left -= k; left == 0 {
+				break
+			}
+		}
+		return starts, n - left
+	}
+	starts, got := try("")
+	if d.OneZone {
+		// All in one zone: the zone that takes the most.
+		starts, got = nil, 0
+		seen := map[string]bool{}
+		for _, c := range cands {
+			if z := p.pool[c.m].Zone; !seen[z] {
+				seen[z] = true
+				if st, g := try(z); g > got {
+					starts, got = st, g
+				}
+			}
+		}
+	}
+	if gang && got < n {
+		return 0
+	}
+	for _, st := range starts {
+		m := &p.pool[st.Machine]
+		m.Free = m.Free.Sub(j.Need, st.Count)
+		zones[m.Zone] += st.Count
+		if !coming {
+			p.plan.Starts = append(p.plan.Starts, st)
+		}
+	}
+	return got
+}
+
+// makeRoom stops the work of lower rank on the machine where the least of it
+// has to go. What is already stopping counts as room to come.
+func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff bool) {
+	j := &p.s.Jobs[ji]
+	for ; n > 0; n-- {
+		best, bestCost := -1, math.Inf(1)
+		var stops []Stop
+		for i := range p.s.Machines {
+			m := &p.pool[i]
+			if !m.Ready || !p.allowed(m, j.Desc, keepOff) || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
+				continue
+			}
+			free, cost := m.Free, 0.0
+			var st []Stop
+			tasks := slices.Clone(m.Tasks)
+			slices.SortStableFunc(tasks, func(a, b Running) int {
+				return cmp.Compare(p.s.Jobs[b.Job].Rank, p.s.Jobs[a.Job].Rank)
+			})
+			for _, r := range tasks {
+				v := &p.s.Jobs[r.Job]
+				if free.Slots(j.Need) > 0 || v.Rank <= j.Rank {
+					break
+				}
+				if v.Desc.Shape == wire.Gang && v.Desc.Tasks > 1 {
+					continue
+				}
+				free = free.Sub(v.Need, -r.Count)
+				if !r.Stopping {
+					cost += float64(r.Count) * v.Need.Cores / float64(v.Rank)
+					st = append(st, Stop{i, r.Job})
+				}
+			}
+			if free.Slots(j.Need) > 0 && cost < bestCost {
+				best, bestCost, stops = i, cost, st
+			}
+		}
+		if best < 0 {
+			return
+		}
+		m := &p.pool[best]
+		for _, st := range stops {
+			p.plan.Stops = append(p.plan.Stops, st)
+			for k, r := range m.Tasks {
+				if r.Job == st.Job {
+					m.Tasks = slices.Clone(m.Tasks)
+					m.Tasks[k].Stopping = true
+					m.Free = m.Free.Sub(p.s.Jobs[r.Job].Need, -r.Count)
+					break
+				}
+			}
+		}
+		m.Free = m.Free.Sub(j.Need, 1)
+		m.Ready = false // its room is spoken for
+		zones[m.Zone]++
+	}
+}
+
+// rent asks for the cheapest offers that hold n tasks (P2), sized to them; what
+// a rented machine has left over counts as coming room for the jobs behind.
+func (p *planner) rent(ji, n int, zones map[string]int, keepOff, gang bool) {
+	j := &p.s.Jobs[ji]
+	d := j.Desc
+	for n > 0 {
+		best, bestCost, bestSlots := Offer{}, math.Inf(1), 0
+		for ti := range p.s.Types {
+			t := &p.s.Types[ti]
+			if !TypeFits(t, d) || (keepOff && t.Total.Cards > 0) {
+				continue
+			}
+			slots := t.Total.Slots(j.Need)
+			for _, z := range t.Zones {
+				k := min(n, ZoneRoom(d, zones, z))
+				if k == 0 || (gang && d.OneZone && k < n) {
+					continue
+				}
+				for _, spot := range []bool{true, false} {
+					o := Offer{ti, z, spot}
+					if (spot && !d.Spot) || p.s.Refused[o] {
+						continue
+					}
+					cost := t.PriceOf(spot) * math.Ceil(float64(k)/float64(slots)) / float64(k)
+					if cost < bestCost-eps {
+						best, bestCost, bestSlots = o, cost, slots
+					}
+				}
+			}
+		}
+		if bestSlots == 0 {
+			return
+		}
+		k := min(n, ZoneRoom(d, zones, best.Zone))
+		count := (k + bestSlots - 1) / bestSlots
+		for left := k; left > 0; left -= bestSlots {
+			p.pool = append(p.pool, Machine{Type: best.Type, Zone: best.Zone, Spot: best.Spot, Coming: true,
+				Free: p.s.Types[best.Type].Total.Sub(j.Need, min(left, bestSlots))})
+		}
+		zones[best.Zone] += k
+		n -= k
+		p.addRent(best, count)
+	}
+}
+
+func (p *planner) addRent(o Offer, count int) {
+	for i := range p.plan.Rents {
+		if p.plan.Rents[i].Offer == o {
+			p.plan.Rents[i].Count += count
+			return
+		}
+	}
+	p.plan.Rents = append(p.plan.Rents, Rent{o, count})
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,171 @@
+// Package statestore speaks to the state service. It holds no policy: callers
+// decide what an unknown outcome means.
+package statestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+var (
+	// ErrUnknown: no usable answer; the request may be executed, also later.
+	ErrUnknown = errors.New("state service: outcome unknown")
+	// ErrRefused: answered 503 or 429; the request was not executed.
+	ErrRefused = errors.New("state service: refused")
+	// ErrThrottled: answered 429; the request was not executed.
+	ErrThrottled = fmt.Errorf("%w: too many requests", ErrRefused)
+	// ErrConflict: a guard of the commit did not hold.
+	ErrConflict = errors.New("state service: guard failed")
+	// ErrNotFound: no such key.
+	ErrNotFound = errors.New("state service: not found")
+	// ErrNoLease: the grant is over.
+	ErrNoLease = errors.New("state service: grant is over")
+	// ErrCompacted: the follow position is too old.
+	ErrCompacted = errors.New("state service: changes no longer kept")
+)
+
+// Client is a client of the state service. It is safe for concurrent use.
+type Client struct {
+	base   string
+	hc     *http.Client
+	lastOK atomic.Int64 // steady time of the last answer that shows service, ns since start
+	start  time.Time
+}
+
+// New makes a client for the address host:port over the given transport.
+func New(addr string, rt http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, hc: &http.Client{Transport: rt}, start: time.Now()}
+}
+
+// SinceOK is the time since the service last answered other than by refusing.
+func (c *Client) SinceOK() time.Duration {
+	return time.Since(c.start) - time.Duration(c.lastOK.Load())
+}
+
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in any, out map[int]any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	status, err := wire.Call(ctx, c.hc, method, c.base+path, in, out)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	if status != http.StatusServiceUnavailable {
+		c.lastOK.Store(int64(time.Since(c.start)))
+	}
+	switch status {
+	case http.StatusServiceUnavailable:
+		return status, ErrRefused
+	case http.StatusTooManyRequests:
+		return status, ErrThrottled
+	}
+	return status, nil
+}
+
+func unexpected(status int) error { return fmt.Errorf("%w: status %d", ErrUnknown, status) }
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (wire.Item, error) {
+	var it wire.Item
+	status, err := c.call(ctx, tuning.StateTimeout, http.MethodGet, "/keys/"+key, nil, map[int]any{200: &it})
+	switch {
+	case err != nil:
+		return it, err
+	case status == 404:
+		return it, ErrNotFound
+	case status != 200 || it.Version == 0:
+		return it, unexpected(status)
+	}
+	return it, nil
+}
+
+// List reads one page of the keys with a prefix.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) (wire.Items, error) {
+	var page wire.Items
+	q := url.Values{"prefix": {prefix}, "most": {fmt.Sprint(limit)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	status, err := c.call(ctx, tuning.StateTimeout, http.MethodGet, "/keys?"+q.Encode(), nil, map[int]any{200: &page})
+	if err == nil && status != 200 {
+		err = unexpected(status)
+	}
+	return page, err
+}
+
+// ListAll reads all keys with a prefix. The revision is the first page's: a
+// follow from it sees whatever changed between the pages.
+func (c *Client) ListAll(ctx context.Context, prefix string) (wire.Items, error) {
+	all, err := c.List(ctx, prefix, "", 1000)
+	for page := all; err == nil && page.More && len(page.Items) > 0; {
+		page, err = c.List(ctx, prefix, page.Items[len(page.Items)-1].Key, 1000)
+		all.Items = append(all.Items, page.Items...)
+	}
+	return all, err
+}
+
+// Commit applies a transaction. On ErrConflict the reply names the guards.
+func (c *Client) Commit(ctx context.Context, txn wire.Commit) (wire.CommitReply, error) {
+	var r wire.CommitReply
+	status, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/commit", txn,
+		map[int]any{200: &r, 409: &r, 400: &r})
+	switch {
+	case err != nil:
+		return r, err
+	case status == 409:
+		return r, ErrConflict
+	case status == 400 && r.Error == wire.ErrNoLease:
+		return r, ErrNoLease
+	case status != 200 || r.Revision == 0:
+		return r, unexpected(status)
+	}
+	return r, nil
+}
+
+// NewGrant opens a lease.
+func (c *Client) NewGrant(ctx context.Context, life time.Duration) (uint64, error) {
+	var g wire.Grant
+	status, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/grants",
+		wire.GrantRequest{LifeMS: life.Milliseconds()}, map[int]any{200: &g})
+	if err == nil && (status != 200 || g.Lease == 0) {
+		err = unexpected(status)
+	}
+	return g.Lease, err
+}
+
+// Touch renews a lease.
+func (c *Client) Touch(ctx context.Context, lease uint64) error {
+	status, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, fmt.Sprintf("/grants/%d/touch", lease), nil, nil)
+	switch {
+	case err != nil:
+		return err
+	case status == 404:
+		return ErrNoLease
+	case status != 200:
+		return unexpected(status)
+	}
+	return nil
+}
+
+// Follow waits up to hold for changes under a prefix after a revision.
+func (c *Client) Follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error) {
+	var ev wire.Events
+	q := url.Values{"prefix": {prefix}, "after": {fmt.Sprint(after)}, "holdMs": {fmt.Sprint(hold.Milliseconds())}}
+	status, err := c.call(ctx, hold+tuning.FollowGrace, http.MethodGet, "/follow?"+q.Encode(), nil, map[int]any{200: &ev})
+	switch {
+	case err != nil:
+		return ev, err
+	case status == 410:
+		return ev, ErrCompacted
+	case status != 200:
+		return ev, unexpected(status)
+	}
+	return ev, nil
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,158 @@
+// Package tuning holds every constant of the service, with its unit and the
+// reason for its value. What operators may change is in config.Operator.
+package tuning
+
+import "time"
+
+const (
+	// MaxBody is the largest request body that PROTOCOL permits, in bytes.
+	MaxBody = 64 << 10
+	// MaxPieces is the largest number of tasks of a job (PROTOCOL, submission).
+	MaxPieces = 100000
+	// MaxName bounds names taken from users, in bytes: with a prefix they must
+	// still fit in a state service key of 200 bytes.
+	MaxName = 150
+
+	// StateTimeout ends a state service call. Answers usually take under 10 ms
+	// and now and then a few hundred, so this is well past the slow ones.
+	StateTimeout = 1500 * time.Millisecond
+	// PollDeadline ends the work for a poll, whose user waits for 2 s in all.
+	PollDeadline = 1700 * time.Millisecond
+	// UserDeadline ends the work for one user request: a submission waits 5 s.
+	UserDeadline = 3500 * time.Millisecond
+	// UserRetryPause lies between two tries after a 429 of the state service;
+	// a bucket of 25 changes a second refills by two in this time.
+	UserRetryPause = 60 * time.Millisecond
+	// UserThrottleTries is how often a throttled user request is tried before
+	// it is refused with 503: together under the 200 ms of the submission aim.
+	UserThrottleTries = 3
+	// RetryAfterS tells refused users when to come back, in seconds.
+	RetryAfterS = 1
+	// GrantLife is the life of the leader's grant: a dead leader is noticed
+	// this late at most. Short enough for quick takeovers, long enough that a
+	// process held up at a tenth of a core keeps it.
+	GrantLife = 2500 * time.Millisecond
+	// GrantTouch is the pause between renewals of the grant: three tries fit.
+	GrantTouch = 700 * time.Millisecond
+	// ElectionRetry is the pause after a failed attempt to take the term.
+	ElectionRetry = 250 * time.Millisecond
+	// FollowHold is how long a follow call is held open. Its return is also the
+	// proof that the leader has seen all cancellations up to its start.
+	FollowHold = 1000 * time.Millisecond
+	// FollowGrace is added to FollowHold before a silent follow is given up.
+	FollowGrace = 1500 * time.Millisecond
+	// LeaderFollowHold is the hold of the followers' watch on the leader key.
+	LeaderFollowHold = 1000 * time.Millisecond
+
+	// StartAuthority is how old the last proof of authority may be when a start
+	// is planned. Starts are fenced by the commit before them; this only avoids
+	// work that must fail.
+	StartAuthority = 3 * time.Second
+	// AuthorityMargin is kept between the end of a leader's right to answer
+	// reports plus a lease, and cancel_s: drift, report delay and kill time.
+	AuthorityMargin = 2 * time.Second
+	// LeaseMargin is added to a lease before its tasks count as gone: report
+	// transit, timer steps and the 4 s after which workers drop an answer.
+	LeaseMargin = 1 * time.Second
+	// DriftShare is the largest difference between two steady clocks' speeds.
+	DriftShare = 0.001
+
+	// BatonShift separates the term (high) from a machine's bump (low).
+	BatonShift = 24
+
+	// PassGap is the least time between two decision passes; events within it
+	// are decided together.
+	PassGap = 25 * time.Millisecond
+	// TickEvery drives everything that depends on time alone.
+	TickEvery = 500 * time.Millisecond
+	// CommitBytes bounds a commit, in bytes as JSON, under the 64 KiB limit.
+	CommitBytes = 48 << 10
+	// LeaderWriteShare is the leader's part of the changes a second; the rest
+	// is left for submissions and cancellations on all nodes.
+	LeaderWriteShare = 0.7
+	// RecordEntryBytes is what a placement takes in a job's record at the most,
+	// in bytes as JSON; it bounds a job's tasks in flight by value_kb.
+	RecordEntryBytes = 48
+
+	// DoTimeout ends a direct command. Workers answer at once unless they hang.
+	DoTimeout = 2 * time.Second
+	// SilentReports is how many report intervals may pass before a machine is
+	// not given new work.
+	SilentReports = 2.6
+	// SilentReturn is how long after its lease a silent machine is given back:
+	// a cut often ends within this time, a dead one costs money.
+	SilentReturn = 20 * time.Second
+	// MachineBackoff rests a machine that refused a start.
+	MachineBackoff = 2 * time.Second
+	// FaultyJobs is how many different jobs must fail on a machine before it is
+	// taken for faulty: one alone may be the job's own mistake.
+	FaultyJobs = 2
+	// ErrorBackoff and ErrorBackoffMax rest a job whose task failed.
+	ErrorBackoff    = 2 * time.Second
+	ErrorBackoffMax = 30 * time.Second
+	// SaveMargin is added to flushS when a task is told to save.
+	SaveMargin = 1.0 // seconds
+	// NoticeMargin is how long before the end of a notice a save must be over.
+	NoticeMargin = 4.0 // seconds
+
+	// CloudTimeout ends a cloud call; usual answers take about 100 ms.
+	CloudTimeout = 4 * time.Second
+	// CloudTick is the pause between cloud list calls, within the call budget.
+	CloudTick = 3 * time.Second
+	// CatalogEvery refreshes prices; they move slowly.
+	CatalogEvery = 30 * time.Second
+	// RentMax and ReturnMax are the limits of PROTOCOL on one call.
+	RentMax   = 50
+	ReturnMax = 100
+	ListMax   = 500
+	// NoCapacityBackoff and its maximum rest a type, zone and kind after a
+	// refusal. Capacity comes back when others return machines.
+	NoCapacityBackoff    = 5 * time.Second
+	NoCapacityBackoffMax = 40 * time.Second
+	// BootSlow is how many times bootS a machine's room counts as coming;
+	// usual boots end at 1.5.
+	BootSlow = 2.0
+	// BootGiveUp is how many times bootS a machine may take before it is taken
+	// for one that never comes up.
+	BootGiveUp = 4.0
+
+	// ErrorLogEvery limits repeated complaints about one source.
+	ErrorLogEvery = 5 * time.Second
+	// PeerEvery is the pause between status exchanges with peers.
+	PeerEvery = 1 * time.Second
+	// PeerTimeout ends a call to a peer.
+	PeerTimeout = 1 * time.Second
+	// ForwardTimeout ends a user's call passed to a peer; a poll has 2 s in all.
+	ForwardTimeout = 1500 * time.Millisecond
+	// UpStateAge is how long a node alone without state service stays up.
+	UpStateAge = 2500 * time.Millisecond
+	// FinalCache is how many final phases a node remembers (about 100 bytes
+	// each).
+	FinalCache = 20000
+	// HelloDeadline ends the wait for the leader's answer to a report; workers
+	// drop answers after 4 s.
+	HelloDeadline = 3 * time.Second
+	// IdleConn closes connections nobody has used for so long; users poll and
+	// workers report every few seconds.
+	IdleConn = 120 * time.Second
+	// DialTimeout ends a connection attempt: a host that is cut off is silent.
+	DialTimeout = 1 * time.Second
+	// StateConns and CloudConns are connections kept open when idle: two
+	// follows, a commit and users' calls; the cloud gets a few calls a second.
+	StateConns = 12
+	CloudConns = 2
+	// MaxInflight bounds user requests being worked on at once in one node.
+	MaxInflight = 256
+	// InboxSize bounds the leader's queue of messages.
+	InboxSize = 1024
+	// MemoryShare is the part of the memory limit given to the Go runtime.
+	MemoryShare = 0.75
+	// LateLogEvery limits the liaison's log line about late production work.
+	LateLogEvery = 10 * time.Second
+	// StatusEvery is how often the summary for the status page is made.
+	StatusEvery = 1 * time.Second
+	// EstimatorWeight is the weight of the newest run in a class's average.
+	EstimatorWeight = 0.2
+	// EstimatorMin is how many completed tasks PAPER's recent average needs.
+	EstimatorMin = 2
+)
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,292 @@
+// Package wire holds the messages of PROTOCOL and their codec. The protocol's
+// own field names occur only here.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marblehaven/internal/tuning"
+)
+
+// Placement shapes, ranks, phases, causes and verbs as spelled on the wire.
+const (
+	Array   = "sweep"
+	Gang    = "group"
+	Service = "standing"
+
+	Production = "production"
+	High       = "high"
+	Standard   = "standard"
+	Idle       = "idle"
+
+	PhaseQueued    = "queued"
+	PhaseRunning   = "running"
+	PhaseDone      = "done"
+	PhaseCancelled = "cancelled"
+
+	TaskFetching = "pulling"
+	TaskWaiting  = "gathering"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "ended"
+
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseNoRoom  = "no_room"
+	CauseBusy    = "in_use"
+	CauseUnknown = "no_such"
+
+	VerbStart  = "start"
+	VerbStop   = "kill"
+	VerbForget = "reap"
+
+	MachineStarting = "starting"
+	MachineFailed   = "failed"
+
+	ErrNoLease = "no such lease"
+)
+
+// JobStatus answers users' calls.
+type JobStatus struct {
+	ID      string `msgpack:"ref"`
+	Phase   string `msgpack:"phase"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `msgpack:"piece"`
+	Attempt uint64 `msgpack:"try"`
+	State   string `msgpack:"phase"`
+	Cause   string `msgpack:"cause"`
+	Saved   bool   `msgpack:"stored"`
+}
+
+// Report is what a worker tells about itself.
+type Report struct {
+	Machine string       `msgpack:"host"`
+	Addr    string       `msgpack:"endpoint"`
+	Type    string       `msgpack:"flavor"`
+	Zone    string       `msgpack:"quarry"`
+	Spot    bool         `msgpack:"loaners"`
+	Session uint64       `msgpack:"tenure"`
+	Seq     uint64       `msgpack:"tick"`
+	Token   uint64       `msgpack:"baton"`
+	Notice  *float64     `msgpack:"recallS"`
+	Tasks   []TaskReport `msgpack:"pieces"`
+}
+
+// Check tells whether a report can be worked with.
+func (r *Report) Check() error {
+	if r.Machine == "" || len(r.Machine) > tuning.MaxName || r.Session == 0 {
+		return errors.New("report without host or tenure")
+	}
+	return nil
+}
+
+// Order is a command to a worker.
+type Order struct {
+	Verb    string  `msgpack:"verb"`
+	Task    string  `msgpack:"piece"`
+	Attempt uint64  `msgpack:"try"`
+	Grace   float64 `msgpack:"windupS,omitempty"`
+}
+
+// HelloReply answers a report.
+type HelloReply struct {
+	Token  uint64  `msgpack:"baton"`
+	Orders []Order `msgpack:"orders"`
+}
+
+// Redirect names the node that takes reports.
+type Redirect struct {
+	Leader string `msgpack:"steward,omitempty"`
+}
+
+// DoRequest carries direct commands.
+type DoRequest struct {
+	Token   uint64  `msgpack:"baton"`
+	Session uint64  `msgpack:"tenure"`
+	Orders  []Order `msgpack:"orders"`
+}
+
+// MachineType is an entry of the cloud's catalog.
+type MachineType struct {
+	Name      string   `msgpack:"label"`
+	Cores     float64  `msgpack:"cores"`
+	Cards     float64  `msgpack:"cards"`
+	MemGB     float64  `msgpack:"memGb"`
+	CacheGB   float64  `msgpack:"cacheGb"`
+	FetchGBps float64  `msgpack:"fetchGbPerS"`
+	Price     float64  `msgpack:"price"`
+	SpotPrice float64  `msgpack:"lowPrice"`
+	BootS     float64  `msgpack:"bootS"`
+	Zones     []string `msgpack:"quarries"`
+}
+
+// Catalog is the cloud's list of machine types.
+type Catalog struct {
+	Types []MachineType `msgpack:"flavors"`
+}
+
+// RentRequest asks the cloud for machines.
+type RentRequest struct {
+	Claim string `msgpack:"claim"`
+	Type  string `msgpack:"flavor"`
+	Zone  string `msgpack:"quarry"`
+	Spot  bool   `msgpack:"loaners"`
+	Count int    `msgpack:"howMany"`
+}
+
+// Hosts lists machine names.
+type Hosts struct {
+	Hosts []string `msgpack:"hosts"`
+}
+
+// ListedMachine is an entry of the cloud's machine list.
+type ListedMachine struct {
+	ID    string  `msgpack:"ref"`
+	Addr  string  `msgpack:"endpoint"`
+	Type  string  `msgpack:"flavor"`
+	Zone  string  `msgpack:"quarry"`
+	Spot  bool    `msgpack:"loaners"`
+	State string  `msgpack:"phase"`
+	AgeS  float64 `msgpack:"heldS"`
+}
+
+// MachineList is a page of the cloud's machine list.
+type MachineList struct {
+	Machines []ListedMachine `msgpack:"hosts"`
+	More     bool            `msgpack:"truncated"`
+}
+
+// Item is a key of the state service with its value.
+type Item struct {
+	Key     string             `msgpack:"path"`
+	Value   msgpack.RawMessage `msgpack:"data"`
+	Version uint64             `msgpack:"stamp"`
+}
+
+// Items is a page of keys.
+type Items struct {
+	Items    []Item `msgpack:"rows"`
+	More     bool   `msgpack:"truncated"`
+	Revision uint64 `msgpack:"epoch"`
+}
+
+// Guard is a condition of a commit.
+type Guard struct {
+	Key     string `msgpack:"path"`
+	Version uint64 `msgpack:"stamp"`
+}
+
+// Change is a put (Set) or a delete.
+type Change struct {
+	Set    string `msgpack:"set,omitempty"`
+	Value  any    `msgpack:"data,omitempty"`
+	Lease  uint64 `msgpack:"permit,omitempty"`
+	Delete string `msgpack:"delete,omitempty"`
+}
+
+// Commit is a transaction.
+type Commit struct {
+	Guards  []Guard  `msgpack:"guards"`
+	Changes []Change `msgpack:"then,omitempty"`
+}
+
+// CommitReply answers a transaction.
+type CommitReply struct {
+	Revision uint64   `msgpack:"epoch"`
+	Failed   []string `msgpack:"failed"`
+	Error    string   `msgpack:"error"`
+}
+
+// GrantRequest asks for a lease at the state service.
+type GrantRequest struct {
+	LifeMS int64 `msgpack:"lifeMs"`
+}
+
+// Grant is a lease at the state service.
+type Grant struct {
+	Lease uint64 `msgpack:"permit"`
+}
+
+// Event is a change seen by a follow call.
+type Event struct {
+	Set     string             `msgpack:"set"`
+	Value   msgpack.RawMessage `msgpack:"data"`
+	Delete  string             `msgpack:"delete"`
+	Version uint64             `msgpack:"stamp"`
+}
+
+// Events answers a follow call.
+type Events struct {
+	Revision uint64  `msgpack:"epoch"`
+	Events   []Event `msgpack:"events"`
+}
+
+// ErrorReply explains a refusal.
+type ErrorReply struct {
+	Error string `msgpack:"error"`
+}
+
+// Unmarshal decodes exactly one value and refuses trailing bytes.
+func Unmarshal(b []byte, v any) error {
+	dec := msgpack.NewDecoder(bytes.NewReader(b))
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.PeekCode(); err != io.EOF {
+		return errors.New("trailing bytes")
+	}
+	return nil
+}
+
+// Marshal encodes a value.
+func Marshal(v any) ([]byte, error) { return msgpack.Marshal(v) }
+
+// Call makes one HTTP request with MessagePack bodies. The answer's body is
+// decoded into out[status] where there is one. err is set when there was no
+// usable answer, in which case the request may or may not have been executed.
+func Call(ctx context.Context, hc *http.Client, method, url string, in any, out map[int]any) (status int, err error) {
+	var body io.Reader
+	if in != nil {
+		b, err := Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, err
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/msgpack")
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	if v, ok := out[resp.StatusCode]; ok && v != nil {
+		if err := Unmarshal(raw, v); err != nil {
+			return 0, fmt.Errorf("malformed answer %s to %s: %w", strconv.Itoa(resp.StatusCode), req.URL.Path, err)
+		}
+	}
+	return resp.StatusCode, nil
+}
--- /dev/null
+++ b/marblehaven.go
@@ -0,0 +1,185 @@
+// Package marblehaven is a cluster scheduler: a controller node that accepts
+// jobs, rents machines and decides what runs where. The program in
+// cmd/marblehaven is a thin layer over Run.
+package marblehaven
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"marblehaven/internal/api"
+	"marblehaven/internal/cloud"
+	"marblehaven/internal/config"
+	"marblehaven/internal/controller"
+	"marblehaven/internal/election"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/peer"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+	"marblehaven/internal/worker"
+)
+
+// Config is everything a controller is told.
+type Config = config.Config
+
+// LoadConfig reads and checks the platform's settings and, unless its path is
+// empty, the operators' own.
+func LoadConfig(path, operatorPath string) (*Config, error) { return config.Load(path, operatorPath) }
+
+type node struct {
+	cfg     *Config
+	log     *slog.Logger
+	store   *statestore.Client
+	cloud   *cloud.Client
+	keeper  *election.Keeper
+	users   *api.Users
+	peers   *peer.Group
+	leading atomic.Pointer[controller.Controller]
+}
+
+// Run runs a controller until ctx ends. It only returns an error if it cannot
+// start: whatever fails later is waited out.
+func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+	debug.SetMemoryLimit(int64(cfg.Deployment.Limits.MemoryMB * tuning.MemoryShare * (1 << 20)))
+	apiLn, err := net.Listen("tcp", cfg.APIAddr)
+	if err != nil {
+		return fmt.Errorf("field api_addr: %w", err)
+	}
+	peerLn, err := net.Listen("tcp", cfg.PeerBind)
+	if err != nil {
+		return fmt.Errorf("field peer_bind: %w", err)
+	}
+	n := &node{cfg: cfg, log: log}
+	n.store = statestore.New(cfg.Services.State, transport(tuning.StateConns))
+	n.cloud = cloud.New(cfg.Services.Cloud, transport(tuning.CloudConns), cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
+	n.keeper = election.New(n.store, cfg.Node, log)
+	n.users = api.NewUsers(cfg, n.store, log)
+	if n.peers, err = peer.Dial(cfg.Peers, n, log); err != nil {
+		return fmt.Errorf("field peers: %w", err)
+	}
+	workers := worker.New(transport(1))
+	go func() {
+		if err := peer.Serve(ctx, peerLn, n); err != nil && ctx.Err() == nil {
+			log.Error("peers' address", "err", err)
+		}
+	}()
+	n.peers.Run(ctx)
+	go n.learnTypes(ctx)
+	go n.keeper.Run(ctx, func(ctx context.Context, held election.Held) {
+		c := controller.New(controller.Deps{
+			Config: cfg, Store: n.store, Cloud: n.cloud, Worker: workers, Log: log,
+			OnTerm:       func(t uint64) { n.keeper.Observe(ledger.Term{N: t}) },
+			PeersConfirm: n.peers.Confirm,
+		}, held)
+		c.Bind(ctx)
+		n.leading.Store(c)
+		defer n.leading.Store(nil)
+		c.Run()
+	})
+	log.Info("serving", "node", cfg.Node, "address", cfg.APIAddr)
+	srv := &api.Server{Name: cfg.Node, Users: n.users, Node: n, Peers: n.peers, Log: log}
+	if err := srv.Serve(ctx, apiLn); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func transport(conns int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     tuning.IdleConn,
+		DisableCompression:  true,
+	}
+}
+
+// learnTypes finds out once which machine types there are: from the leader's
+// copy, so that the cloud's call budget is not spent by every node, or from
+// the cloud.
+func (n *node) learnTypes(ctx context.Context) {
+	for !n.users.HasTypes() {
+		var types []wire.MachineType
+		it, err := n.store.Get(ctx, ledger.KeyCatalog)
+		if err == nil {
+			err = wire.Unmarshal(it.Value, &types)
+		}
+		if err != nil || len(types) == 0 {
+			types, err = n.cloud.Catalog(ctx)
+		}
+		if err == nil {
+			n.users.SetTypes(types)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(tuning.ElectionRetry):
+		}
+	}
+}
+
+// Leading is the leader of this node's term, nil if it has none.
+func (n *node) Leading() *controller.Controller { return n.leading.Load() }
+
+// Leader is who leads, as far as known.
+func (n *node) Leader() (ledger.Term, bool) {
+	t, ok := n.keeper.Leader()
+	return t, ok && t.Node != ""
+}
+
+// StateOK tells whether the state service serves this node.
+func (n *node) StateOK() bool { return n.store.SinceOK() < tuning.UpStateAge }
+
+// Up is off while the state service serves others but not this node. While it
+// serves nobody the node stays up: removing all nodes would only add to the
+// outage.
+func (n *node) Up() bool {
+	return n.users.HasTypes() && (n.StateOK() || !n.peers.Served())
+}
+
+// Summary is the leader's status, from whichever node.
+func (n *node) Summary(ctx context.Context) (s controller.Status, ok bool) {
+	if c := n.leading.Load(); c != nil {
+		return c.Status(ctx)
+	}
+	t, known := n.Leader()
+	if !known {
+		return s, false
+	}
+	raw := n.peers.Summary(ctx, t.Node)
+	return s, raw != nil && wire.Unmarshal(raw, &s) == nil
+}
+
+// Word is what this node says to its peers.
+func (n *node) Word(summary bool) peer.Word {
+	w := peer.Word{StateMS: n.store.SinceOK().Milliseconds(), AckMS: n.users.SinceTold().Milliseconds()}
+	w.Leader, _ = n.keeper.Leader()
+	if c := n.leading.Load(); summary && c != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), tuning.PeerTimeout)
+		defer cancel()
+		if s, ok := c.Status(ctx); ok {
+			w.Summary, _ = wire.Marshal(s)
+		}
+	}
+	return w
+}
+
+// Heard takes in a term that a peer has named.
+func (n *node) Heard(t ledger.Term) {
+	if t.N > 0 {
+		n.keeper.Observe(t)
+	}
+}
+
+// UserCall answers a user's call for a peer.
+func (n *node) UserCall(ctx context.Context, c *peer.UserCall) *peer.UserAnswer {
+	return n.users.UserCall(ctx, c)
+}
