--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -298,6 +298,12 @@
 		for _, it := range open.Items {
 			c.setOpen(it.Key, it.Value, it.Version, now)
 		}
+		// A job may have been cancelled while nobody led: no event will tell.
+		for _, j := range c.jobs {
+			if j.cancelled {
+				c.cancelJob(j, now)
+			}
+		}
 		for _, it := range claims.Items {
 			var cl ledger.Claim
 			if err := wire.Unmarshal(it.Value, &cl); err == nil {
