Let cardless work use what card work leaves over on its machine

Cause: CPU machines are all rented and full (238 of 252 cores, 167 of 176) while machines with cards keep 5 or 7 cores idle beside a running gang. Services keep off, and room for another gang is kept, so nothing holds a dear machine.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -320,10 +320,45 @@
 	return d.ImageGB / t.FetchGBps
 }
 
-func (p *planner) allowed(m *Machine, d *wire.Job, keepOff bool) bool {
-	t := &p.s.Types[m.Type]
-	return (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && (!m.Spot || d.Spot) &&
-		!(keepOff && t.Total.Cards > 0)
+func (p *planner) allowed(m *Machine, d *wire.Job) bool {
+	return (len(d.Types) == 0 || slices.Contains(d.Types, p.s.Types[m.Type].Name)) && (!m.Spot || d.Spot)
+}
+
+// room is how many tasks of the job the machine takes now. Work that does not
+// need cards gets on a machine with cards only what its card work leaves over,
+// and only if it ends by itself: it must not keep a dear machine from being
+// given back.
+func (p *planner) room(m *Machine, j *Job, keepOff bool) int {
+	if keepOff && p.s.Types[m.Type].Total.Cards > 0 {
+		if j.Desc.Shape == wire.Service || !p.cardWork(m) {
+			return 0
+		}
+		if r := p.reserve(m); m.Free.Slots(r) > 0 {
+			return m.Free.Sub(r, 1).Slots(j.Need)
+		}
+	}
+	return m.Free.Slots(j.Need)
+}
+
+// cardWork tells whether work with cards is on the machine.
+func (p *planner) cardWork(m *Machine) bool {
+	for _, r := range m.Tasks {
+		if p.s.Jobs[r.Job].Need.Cards > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve is the most that a task with cards takes on the machine.
+func (p *planner) reserve(m *Machine) Res {
+	r := Res{Cards: 1}
+	for i := range p.s.Jobs {
+		if n := p.s.Jobs[i].Need; n.Cards > 0 && p.s.Types[m.Type].Total.Slots(n) > 0 {
+			r = Res{math.Max(r.Cores, n.Cores), math.Max(r.Cards, n.Cards), math.Max(r.Mem, n.Mem)}
+		}
+	}
+	return r
 }
 
 // place puts up to n tasks on ready machines (or, with coming, counts them
@@ -332,16 +367,17 @@
 	j := &p.s.Jobs[ji]
 	d := j.Desc
 	type cand struct {
-		m          int
+		m, room    int
 		cost, left float64
 	}
 	var cands []cand
 	for i := range p.pool {
 		m := &p.pool[i]
-		if (coming && !m.Coming) || (!coming && !m.Ready) || !p.allowed(m, d, keepOff) {
+		if (coming && !m.Coming) || (!coming && !m.Ready) || !p.allowed(m, d) {
 			continue
 		}
-		if m.Free.Slots(j.Need) == 0 || ZoneRoom(d, zones, m.Zone) == 0 {
+		room := p.room(m, j, keepOff)
+		if room == 0 || ZoneRoom(d, zones, m.Zone) == 0 {
 			continue
 		}
 		t := &p.s.Types[m.Type]
@@ -350,7 +386,7 @@
 			est += fetchS(t, d)
 		}
 		share := 1 / float64(max(1, t.Total.Slots(j.Need)))
-		cands = append(cands, cand{i, t.PriceOf(m.Spot) * share * math.Max(est, 1), m.Free.Cores})
+		cands = append(cands, cand{i, room, t.PriceOf(m.Spot) * share * math.Max(est, 1), m.Free.Cores})
 	}
 	slices.SortStableFunc(cands, func(a, b cand) int {
 		// Equal cost: the fuller machine, so that others empty.
@@ -368,7 +404,7 @@
 			if only != "" && m.Zone != only {
 				continue
 			}
-			k := min(left, m.Free.Slots(j.Need), ZoneRoom(d, z, m.Zone))
+			k := min(left, c.room, ZoneRoom(d, z, m.Zone))
 			if k <= 0 {
 				continue
 			}
@@ -417,7 +453,7 @@
 		var stops []Stop
 		for i := range p.s.Machines {
 			m := &p.pool[i]
-			if !m.Ready || !p.allowed(m, j.Desc, keepOff) || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
+			if !m.Ready || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
 				continue
 			}
 			free, cost := m.Free, 0.0
