Serve most jobs in time when not all can be

Jobs are now held to the earliest aim they can still keep, and within a class of equals the biggest go behind when the rest would be late.

--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -170,9 +169,9 @@
 // objective sets one, in seconds.
 func (c *Controller) dueIn(j *job, est float64, guaranteed bool, now time.Time) float64 {
 	age := now.Sub(j.at).Seconds()
-	due := math.Inf(1)
+	var dues []float64
 	if j.desc.DeadlineS > 0 {
-		due = j.desc.DeadlineS
+		dues = append(dues, j.desc.DeadlineS)
 	}
 	for _, o := range c.Config.Deployment.Objectives {
 		if o.WithinS <= 0 || (o.Class != j.desc.Class && o.Kind != "guarantee") {
@@ -180,15 +179,23 @@
 		}
 		switch {
 		case o.Kind == "finished":
-			due = math.Min(due, o.WithinS)
-		case o.Kind == "wait", o.Kind == "guarantee" && guaranteed:
-			due = math.Min(due, o.WithinS+est)
+			dues = append(dues, o.WithinS)
+		case o.Kind == "wait" && len(j.live) == 0, o.Kind == "guarantee" && guaranteed && len(j.live) == 0:
+			dues = append(dues, o.WithinS+est)
 		}
 	}
-	if math.IsInf(due, 1) {
-		due = c.Config.Operator.DeadlineFactor * est
+	if len(dues) == 0 {
+		dues = append(dues, c.Config.Operator.DeadlineFactor*est)
 	}
-	return due - age
+	// The earliest that can still be kept; a job that has missed all of them
+	// is held to the last.
+	slices.Sort(dues)
+	for _, d := range dues {
+		if d-age >= est {
+			return d - age
+		}
+	}
+	return dues[len(dues)-1] - age
 }
 
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -136,24 +136,93 @@
 }
 
 // Order sorts job indices by who is served first: player-facing production
-// work, then work within a guarantee, then rank, then slack.
+// work, then work within a guarantee, then rank. Among equals the earliest
+// deadline goes first, but where not all can be in time, the jobs that take the
+// most room go behind the others, so that the most jobs are (Moore's rule).
 func Order(s *Snapshot) []int {
 	idx := make([]int, len(s.Jobs))
 	for i := range idx {
 		idx[i] = i
 	}
-	slices.SortStableFunc(idx, func(a, b int) int {
+	group := func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
 		return cmp.Or(
 			cmpBool(x.Rank == 0, y.Rank == 0),
 			cmpBool(x.Guaranteed, y.Guaranteed),
 			cmp.Compare(x.Rank, y.Rank),
-			cmp.Compare(x.DueS-x.EstimateS, y.DueS-y.EstimateS),
-			cmp.Compare(x.Ref, y.Ref))
+			cmpBool(x.Need.Cards > 0, y.Need.Cards > 0))
+	}
+	slices.SortStableFunc(idx, func(a, b int) int {
+		x, y := &s.Jobs[a], &s.Jobs[b]
+		return cmp.Or(group(a, b), cmp.Compare(x.DueS, y.DueS), cmp.Compare(x.Ref, y.Ref))
 	})
+	cores, cards := held(s)
+	load := 0.0 // time that the held machines need for what goes before
+	loadCards := 0.0
+	for i := 0; i < len(idx); {
+		n := i + 1
+		for n < len(idx) && group(idx[i], idx[n]) == 0 {
+			n++
+		}
+		if s.Jobs[idx[i]].Need.Cards > 0 {
+			loadCards = inTime(s, idx[i:n], loadCards, func(j *Job) float64 { return j.work(j.Need.Cards) / math.Max(cards, 1) })
+		} else {
+			load = inTime(s, idx[i:n], load, func(j *Job) float64 { return j.work(j.Need.Cores) / math.Max(cores, 1) })
+		}
+		i = n
+	}
 	return idx
 }
 
+// work is what is left to do of the job, in need times seconds.
+func (j *Job) work(need float64) float64 {
+	return (float64(j.Waiting) + float64(j.Live)/2) * j.EstimateS * need
+}
+
+// held is the size of the held machines: cores of those without cards, and
+// cards.
+func held(s *Snapshot) (cores, cards float64) {
+	for i := range s.Machines {
+		m := &s.Machines[i]
+		if m.Ready || m.Coming || len(m.Tasks) > 0 {
+			t := s.Types[m.Type].Total
+			cards += t.Cards
+			if t.Cards == 0 {
+				cores += t.Cores
+			}
+		}
+	}
+	return cores, cards
+}
+
+// inTime puts the jobs of a group that can be in time first, in the order they
+// are given, then the others, the smallest first. It returns the load after it.
+func inTime(s *Snapshot, idx []int, load float64, takes func(*Job) float64) float64 {
+	var first, later []int
+	for _, ji := range idx {
+		first = append(first, ji)
+		load += takes(&s.Jobs[ji])
+		if load+s.Jobs[ji].EstimateS <= s.Jobs[ji].DueS {
+			continue
+		}
+		big := 0
+		for k := range first {
+			if takes(&s.Jobs[first[k]]) > takes(&s.Jobs[first[big]]) {
+				big = k
+			}
+		}
+		load -= takes(&s.Jobs[first[big]])
+		later = append(later, first[big])
+		first = slices.Delete(first, big, big+1)
+	}
+	slices.SortStableFunc(later, func(a, b int) int { return cmp.Compare(takes(&s.Jobs[a]), takes(&s.Jobs[b])) })
+	copy(idx, append(first, later...))
+	for _, ji := range later {
+		load += takes(&s.Jobs[ji])
+	}
+	return load
+}
+
 func cmpBool(x, y bool) int {
 	switch {
 	case x == y:
@@ -217,17 +286,8 @@
 func Decide(s *Snapshot) Plan {
 	p := &planner{s: s, pool: slices.Clone(s.Machines)}
 	taken := make([]bool, len(s.Machines))
-	var ahead, held, aheadG, heldG float64
-	for i := range s.Machines {
-		m := &s.Machines[i]
-		if m.Ready || m.Coming || len(m.Tasks) > 0 {
-			if t := s.Types[m.Type].Total; t.Cards > 0 {
-				heldG += t.Cards
-			} else {
-				held += t.Cores
-			}
-		}
-	}
+	var ahead, aheadCards float64
+	heldCores, heldCards := held(s)
 	teams := slices.Clone(s.Teams)
 	for _, ji := range Order(s) {
 		j := &s.Jobs[ji]
@@ -260,11 +320,11 @@
 		work := float64(n) * j.EstimateS
 		queue := 0.0
 		if j.Need.Cards > 0 {
-			aheadG += work * j.Need.Cards
-			queue = aheadG / math.Max(heldG, eps)
+			aheadCards += work * j.Need.Cards
+			queue = aheadCards / math.Max(heldCards, eps)
 		} else {
 			ahead += work * j.Need.Cores
-			queue = ahead / math.Max(held, eps)
+			queue = ahead / math.Max(heldCores, eps)
 		}
 		boot := bootOf(s, j)
 		slack := math.Max(0, j.DueS-s.Rho*(j.EstimateS+math.Min(queue, 1e6))-boot)
