--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"marblehaven/internal/election"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/sched"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -122,6 +123,8 @@
 	summarized  time.Time
 	lateLogged  time.Time
 	status      Status
+	cardRank    int // see sched.Snapshot
+	cardNeed    sched.Res
 	maxLive     int
 }
 
@@ -142,7 +145,7 @@
 	return &Controller{
 		Deps: d, term: term, inbox: make(chan any, tuning.InboxSize),
 		jobs: map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{},
-		claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
+		cardRank: -1, claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
 		est:     estimator{off: d.Config.Operator.Estimator == "user", classes: map[string]*classRuns{}},
 		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), st.TxnOps)),
 		maxLive: max(1, int(st.ValueKB*1024/2)/tuning.RecordEntryBytes),
@@ -356,7 +359,12 @@
 		}
 		return
 	}
-	c.jobs[ref] = newJob(ref, &o, ver, now)
+	j := newJob(ref, &o, ver, now)
+	c.jobs[ref] = j
+	if n := j.need(); n.Cards > 0 {
+		c.cardRank = max(c.cardRank, j.rank())
+		c.cardNeed = sched.Res{Cores: max(c.cardNeed.Cores, n.Cores), Cards: max(c.cardNeed.Cards, n.Cards), Mem: max(c.cardNeed.Mem, n.Mem)}
+	}
 }
 
 // follow learns of new jobs and cancellations. Each return also proves that all
@@ -490,7 +498,7 @@
 		return
 	}
 	if !wasUp {
-		m.IdleSince = now
+		m.IdleSince, m.CardsIdle = now, now
 		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
 	c.end(ended, now)
@@ -527,6 +535,9 @@
 		p := e.Placement
 		p.Machine.Drop(p, now)
 		j := c.jobs[p.Job]
+		if j != nil && j.desc.Cards > 0 {
+			p.Machine.CardsIdle = now
+		}
 		if j == nil || j.live[p.Task] != p {
 			continue
 		}
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -200,7 +200,7 @@
 
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
 	op := c.Config.Operator
-	s := &sched.Snapshot{Rho: op.Rho, GiveBack: op.GiveBackFactor, Refused: map[sched.Offer]bool{}}
+	s := &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor, Refused: map[sched.Offer]bool{}}
 	for _, t := range c.types {
 		s.Types = append(s.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
 			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
@@ -258,7 +258,8 @@
 			continue
 		}
 		sm := sched.Machine{ID: m.ID, Type: ti, Zone: m.Zone, Spot: m.Spot, Free: s.Types[ti].Total,
-			Ready: m.Usable(now, silence), Empty: len(m.Live) == 0 && len(m.Outbox) == 0, IdleS: now.Sub(m.IdleSince).Seconds()}
+			Ready: m.Usable(now, silence), Empty: len(m.Live) == 0 && len(m.Outbox) == 0, IdleS: now.Sub(m.IdleSince).Seconds(),
+			CardIdleS: now.Sub(m.CardsIdle).Seconds()}
 		sm.Coming = !m.Up && !m.Leaving && now.Sub(m.Rented) < seconds(tuning.BootSlow*s.Types[ti].BootS)
 		if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
 			unsettled++
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,7 @@
 	NoticeEnd    time.Time // when the cloud takes it; zero: no notice
 	Rented       time.Time
 	IdleSince    time.Time
+	CardsIdle    time.Time // since when no card has been in use
 	RestUntil    time.Time
 	Up           bool // has reported
 	Leaving      bool // is being given back
@@ -70,7 +71,7 @@
 
 // New makes a machine known by its name only.
 func New(id string, token uint64, now time.Time, leaseEnd time.Time) *Machine {
-	return &Machine{ID: id, Token: token, Rented: now, IdleSince: now, LeaseEnd: leaseEnd,
+	return &Machine{ID: id, Token: token, Rented: now, IdleSince: now, CardsIdle: now, LeaseEnd: leaseEnd,
 		Live: map[Key]*Placement{}, failed: map[string]bool{}}
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -58,17 +58,18 @@
 
 // Machine is a machine as seen at the snapshot.
 type Machine struct {
-	ID       string
-	Type     int
-	Zone     string
-	Spot     bool
-	Free     Res
-	Ready    bool            // may be given work now
-	Coming   bool            // boots: its room counts as coming
-	Empty    bool            // nothing may be on it
-	IdleS    float64         // how long it has been empty
-	HasImage map[string]bool // nil: none
-	Tasks    []Running
+	ID        string
+	Type      int
+	Zone      string
+	Spot      bool
+	Free      Res
+	Ready     bool            // may be given work now
+	Coming    bool            // boots: its room counts as coming
+	Empty     bool            // nothing may be on it
+	IdleS     float64         // how long it has been empty
+	CardIdleS float64         // with cards: how long none of them has been in use
+	HasImage  map[string]bool // nil: none
+	Tasks     []Running
 }
 
 // Job is a job with tasks waiting.
@@ -111,6 +112,10 @@
 	GiveBack  float64 // times boot time
 	MayRent   bool
 	MayReturn bool
+	// CardRank is the lowest rank of the work with cards that has been seen, -1
+	// if there was none; CardNeed is the most that a task of it takes.
+	CardRank int
+	CardNeed Res
 }
 
 // Start puts Count tasks of a job on a machine.
@@ -328,8 +333,8 @@
 		}
 		boot := bootOf(s, j)
 		slack := math.Max(0, j.DueS-s.Rho*(j.EstimateS+math.Min(queue, 1e6))-boot)
-		if j.Rank == 0 {
-			p.makeRoom(ji, n, zones, keepOff)
+		if j.Rank == 0 || j.Need.Cards > 0 {
+			n -= p.makeRoom(ji, n, zones, keepOff)
 		}
 		coming := p.place(ji, n, zones, keepOff, gang, true)
 		n -= coming
@@ -344,7 +349,11 @@
 	if s.MayReturn {
 		for i := range s.Machines {
 			m := &s.Machines[i]
-			if m.Ready && m.Empty && !taken[i] && m.IdleS >= s.GiveBack*s.Types[m.Type].BootS {
+			idle := m.IdleS
+			if s.Types[m.Type].Total.Cards > 0 {
+				idle = m.CardIdleS
+			}
+			if m.Ready && m.Empty && !taken[i] && idle >= s.GiveBack*s.Types[m.Type].BootS {
 				p.plan.Returns = append(p.plan.Returns, i)
 			}
 		}
@@ -385,16 +394,23 @@
 }
 
 // room is how many tasks of the job the machine takes now. Work that does not
-// need cards gets on a machine with cards only what its card work leaves over,
-// and only if it ends by itself: it must not keep a dear machine from being
-// given back.
+// need cards gets on a machine with cards what its card work leaves over; where
+// no card is in use it gets all, if it ranks below the work with cards and can
+// be stopped for it. Only work that ends by itself may go there, and none once
+// the machine is to be given back: it must not keep a dear machine.
 func (p *planner) room(m *Machine, j *Job, keepOff bool) int {
-	if keepOff && p.s.Types[m.Type].Total.Cards > 0 {
-		if j.Desc.Shape == wire.Service || !p.cardWork(m) {
+	t := &p.s.Types[m.Type]
+	if keepOff && t.Total.Cards > 0 {
+		switch {
+		case j.Desc.Shape == wire.Service:
+			return 0
+		case p.cardWork(m):
+			if r := p.s.CardNeed; r.Cards > 0 && m.Free.Slots(r) > 0 {
+				return m.Free.Sub(r, 1).Slots(j.Need)
+			}
+		case p.s.CardRank < 0 || j.Rank <= p.s.CardRank || j.Desc.Shape == wire.Gang ||
+			m.CardIdleS >= p.s.GiveBack*t.BootS:
 			return 0
-		}
-		if r := p.reserve(m); m.Free.Slots(r) > 0 {
-			return m.Free.Sub(r, 1).Slots(j.Need)
 		}
 	}
 	return m.Free.Slots(j.Need)
@@ -410,17 +426,6 @@
 	return false
 }
 
-// reserve is the most that a task with cards takes on the machine.
-func (p *planner) reserve(m *Machine) Res {
-	r := Res{Cards: 1}
-	for i := range p.s.Jobs {
-		if n := p.s.Jobs[i].Need; n.Cards > 0 && p.s.Types[m.Type].Total.Slots(n) > 0 {
-			r = Res{math.Max(r.Cores, n.Cores), math.Max(r.Cards, n.Cards), math.Max(r.Mem, n.Mem)}
-		}
-	}
-	return r
-}
-
 // place puts up to n tasks on ready machines (or, with coming, counts them
 // against machines that boot) and returns how many found room.
 func (p *planner) place(ji, n int, zones map[string]int, keepOff, gang, coming bool) int {
@@ -505,10 +510,17 @@
 }
 
 // makeRoom stops the work of lower rank on the machine where the least of it
-// has to go. What is already stopping counts as room to come.
-func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff bool) {
+// has to go. What is already stopping counts as room to come. It returns for
+// how many tasks there will be room.
+func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff bool) int {
 	j := &p.s.Jobs[ji]
-	for ; n > 0; n-- {
+	if j.Desc.Shape == wire.Gang && n > 1 {
+		return 0 // a gang starts whole: room for a part of it is of no use
+	}
+	for made := 0; ; made++ {
+		if made == n {
+			return made
+		}
 		best, bestCost := -1, math.Inf(1)
 		var stops []Stop
 		for i := range p.s.Machines {
@@ -541,7 +553,7 @@
 			}
 		}
 		if best < 0 {
-			return
+			return made
 		}
 		m := &p.pool[best]
 		for _, st := range stops {
