--- /dev/null
+++ b/chaos_test.go
@@ -0,0 +1,131 @@
+package marblehaven
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"marblehaven/internal/standin"
+	"marblehaven/internal/wire"
+)
+
+// chaos submits and cancels jobs of all shapes while nodes die, links are cut,
+// machines hang and vanish and the state service refuses one or all.
+func chaos(c *cluster, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	c.net.Repeat = true
+	c.w.Limit("small", "a", true, 2)
+	c.w.Limit("big", "a", true, 1)
+	c.w.Limit("big", "b", false, 3)
+	next := 0
+	var mu sync.Mutex
+	var keep []string // jobs that must be done in the end
+	later := func(d time.Duration, f func()) {
+		go func() {
+			time.Sleep(d)
+			if c.ctx.Err() == nil {
+				f()
+			}
+		}()
+	}
+	secs := func(low, high int) time.Duration {
+		return time.Duration(low+rng.IntN(high-low)) * time.Second
+	}
+	for range 70 {
+		next++
+		var j wire.Job
+		runS := float64(5 + rng.IntN(40))
+		switch rng.IntN(4) {
+		case 0:
+			j = standing(next, 1+rng.IntN(3))
+		case 1:
+			j = gang(next, 1+rng.IntN(3))
+		default:
+			j = sweep(next, "check", 1+rng.IntN(20))
+		}
+		if rng.IntN(2) == 0 && j.Shape != wire.Gang {
+			j.Team = "blue"
+		}
+		cancel := j.Shape == wire.Service || rng.IntN(4) == 0
+		after := secs(1, 60)
+		go func() {
+			// A submission that was not taken in its time is no promise.
+			if st := c.w.Submit(j, runS); !cancel && (st == 200 || st == 201) {
+				mu.Lock()
+				keep = append(keep, j.ID)
+				mu.Unlock()
+			}
+			if cancel {
+				time.Sleep(after)
+				if c.ctx.Err() == nil {
+					c.w.Withdraw(j.ID)
+				}
+			}
+		}()
+		name := nodeNames[rng.IntN(3)]
+		mode := standin.Cut(1 + rng.IntN(2))
+		machines := c.w.Machines()
+		machine := ""
+		if len(machines) > 0 {
+			machine = machines[rng.IntN(len(machines))]
+		}
+		switch rng.IntN(9) {
+		case 0:
+			c.kill(name)
+			later(secs(1, 6), func() { c.boot(name) })
+			time.Sleep(6 * time.Second)
+		case 1:
+			later(secs(3, 40), c.cut(name, "state", mode))
+		case 2:
+			c.w.State.Refuse(name, true)
+			later(secs(3, 40), func() { c.w.State.Refuse(name, false) })
+		case 3:
+			if rng.IntN(3) == 0 {
+				c.w.State.Refuse("", true)
+				later(secs(3, 40), func() { c.w.State.Refuse("", false) })
+			}
+		case 4:
+			if machine != "" {
+				later(secs(3, 40), c.isolate(machine, mode, nodeNames...))
+			}
+		case 5:
+			if machine != "" {
+				later(secs(3, 40), c.w.Hang(machine))
+			}
+		case 6:
+			if machine != "" {
+				c.w.Kill(machine)
+			}
+		case 7:
+			if machine != "" {
+				later(secs(3, 40), c.cut(name, machine, mode))
+			}
+		case 8:
+			for _, other := range nodeNames {
+				if other != name {
+					later(secs(3, 40), c.cut(name, other, mode))
+				}
+			}
+		}
+		if rng.IntN(3) > 0 {
+			time.Sleep(secs(1, 12))
+		}
+		mu.Lock()
+		for _, ref := range keep {
+			if rng.IntN(8) == 0 {
+				go c.w.Poll(ref)
+			}
+		}
+		mu.Unlock()
+	}
+	time.Sleep(90 * time.Second)
+	mu.Lock()
+	refs := slices.Clone(keep)
+	mu.Unlock()
+	if len(refs) == 0 {
+		c.t.Fatal("no job was accepted")
+	}
+	c.untilDone(10*time.Minute, refs...)
+	time.Sleep(time.Minute)
+}
--- a/internal/api/page.go
+++ b/internal/api/page.go
@@ -50,14 +50,14 @@
 		Name, Leader  string
 		StateOK, Have bool
 		S             controller.Status
-	}{Name: s.Name, StateOK: s.Node.StateOK()}
-	if t, ok := s.Node.Leader(); ok {
+	}{Name: s.name, StateOK: s.node.StateOK()}
+	if t, ok := s.node.Leader(); ok {
 		data.Leader = t.Node
 	}
-	data.S, data.Have = s.Node.Summary(ctx)
+	data.S, data.Have = s.node.Summary(ctx)
 	var buf bytes.Buffer
 	if err := pageTemplate.Execute(&buf, data); err != nil {
-		s.Log.Error("status page", "err", err)
+		s.log.Error("status page", "err", err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -34,27 +34,29 @@
 
 // Server serves the users' address.
 type Server struct {
-	Name  string
-	Users *Users
-	Node  Node
-	Peers *peer.Group
-	Log   *slog.Logger
-
+	name    string
+	users   *Users
+	node    Node
+	peers   *peer.Group
+	log     *slog.Logger
 	slots   chan struct{}
-	limiter *logLimiter
+	limiter logLimiter
+}
+
+// NewServer makes the server of a node.
+func NewServer(name string, users *Users, node Node, peers *peer.Group, log *slog.Logger) *Server {
+	return &Server{name: name, users: users, node: node, peers: peers, log: log, slots: make(chan struct{}, tuning.MaxInflight)}
 }
 
 // Serve answers on the listener until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	s.slots = make(chan struct{}, tuning.MaxInflight)
-	s.limiter = &logLimiter{}
 	srv := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: tuning.UserDeadline,
 		ReadTimeout:       2 * tuning.UserDeadline,
 		IdleTimeout:       tuning.IdleConn,
 		MaxHeaderBytes:    8 << 10,
-		ErrorLog:          slog.NewLogLogger(s.Log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
 	go func() {
 		<-ctx.Done()
@@ -73,7 +75,7 @@
 		}
 	case path == "/up":
 		if method(w, r, http.MethodGet) {
-			if s.Node.Up() {
+			if s.node.Up() {
 				w.WriteHeader(http.StatusOK)
 			} else {
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -159,15 +161,15 @@
 		return
 	}
 	var a answer
-	if s.Node.StateOK() || !s.Peers.Served() {
-		a = s.Users.Do(r.Context(), op, ref, body)
+	if s.node.StateOK() || !s.peers.Served() {
+		a = s.users.Do(r.Context(), op, ref, body)
 	} else {
 		a = refused
 	}
 	if a.refused {
 		// The state service may refuse this node alone: a peer that it serves
 		// can answer for us.
-		if f, ok := s.Peers.Forward(r.Context(), &peer.UserCall{Op: op, Ref: ref, Body: body}); ok {
+		if f, ok := s.peers.Forward(r.Context(), &peer.UserCall{Op: op, Ref: ref, Body: body}); ok {
 			reply(w, f.Status, f.Body)
 			return
 		}
@@ -187,12 +189,12 @@
 	}
 	if err != nil {
 		if s.limiter.allow(time.Now()) {
-			s.Log.Error("malformed report", "from", r.RemoteAddr, "err", err)
+			s.log.Error("malformed report", "from", r.RemoteAddr, "err", err)
 		}
 		reply(w, http.StatusBadRequest, nil)
 		return
 	}
-	if c := s.Node.Leading(); c != nil {
+	if c := s.node.Leading(); c != nil {
 		ctx, cancel := context.WithTimeout(r.Context(), tuning.HelloDeadline)
 		defer cancel()
 		if h, err := c.Hello(ctx, &rep); err == nil {
@@ -203,7 +205,7 @@
 		return
 	}
 	var to wire.Redirect
-	if t, ok := s.Node.Leader(); ok && t.Node != s.Name {
+	if t, ok := s.node.Leader(); ok && t.Node != s.name {
 		to.Leader = t.Node
 	}
 	reply(w, http.StatusMisdirectedRequest, to)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -47,10 +47,10 @@
 		reply chan *wire.HelloReply // nil answer: not entitled
 	}
 	doMsg struct {
-		m        *fleet.Machine
-		rep      *wire.Report
-		executed bool
-		err      error
+		m      *fleet.Machine
+		rep    *wire.Report
+		starts bool
+		err    error
 	}
 	commitMsg struct {
 		b        *batch
@@ -340,7 +340,7 @@
 		for _, lp := range r.Live {
 			m := c.machine(lp.Machine, now)
 			p := &fleet.Placement{Key: fleet.Key{Job: ref, Task: lp.Task}, Attempt: lp.Attempt, Session: lp.Session,
-				Machine: m, Recorded: true, Sent: true, Since: now}
+				Machine: m, Recorded: true, Sent: true, StartToken: c.token() - 1, Since: now}
 			j.live[lp.Task], m.Live[p.Key] = p, p
 		}
 		return
@@ -515,7 +515,7 @@
 		case t.State == wire.TaskExited:
 			// Reaping earlier could make the worker run it again: a start
 			// still under way, or a completion that is not recorded yet.
-			if m.Settled() && !(j != nil && j.pendingDone[k.Task]) && (p == nil || p.Attempt != t.Attempt) {
+			if m.MayReap(k, t.Attempt) && !(j != nil && j.pendingDone[k.Task]) && (p == nil || p.Attempt != t.Attempt) {
 				out = append(out, wire.Order{Verb: wire.VerbForget, Task: t.Task, Attempt: t.Attempt})
 			}
 		case !ok || p == nil || p.Attempt != t.Attempt:
@@ -630,6 +630,7 @@
 		return
 	}
 	var orders []wire.Order
+	starts := false
 	for _, p := range m.Live {
 		if p.Stopping && p.Sent && now.Sub(p.StopAt) < tuning.TickEvery {
 			orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: taskName(p.Key), Attempt: p.Attempt, Grace: p.Grace})
@@ -644,29 +645,29 @@
 			c.unplace(p, now) // never sent, so it can be taken back
 			continue
 		}
-		p.Sent = true
+		m.Start(p)
+		starts = true
 		orders = append(orders, wire.Order{Verb: wire.VerbStart, Task: taskName(p.Key), Attempt: p.Attempt})
 	}
 	m.Outbox = m.Outbox[:0]
 	if len(orders) > 0 {
-		c.do(m, orders)
+		c.do(m, orders, starts)
 	}
 }
 
-func (c *Controller) do(m *fleet.Machine, orders []wire.Order) {
+func (c *Controller) do(m *fleet.Machine, orders []wire.Order, starts bool) {
 	m.InFlight = true
 	req, addr := wire.DoRequest{Token: m.Token, Session: m.Session, Orders: orders}, m.Addr
 	go func() {
-		rep, executed, err := c.Worker.Do(c.ctx, addr, req)
-		c.send(doMsg{m, rep, executed, err})
+		rep, err := c.Worker.Do(c.ctx, addr, req)
+		c.send(doMsg{m, rep, starts, err})
 	}()
 }
 
 func (c *Controller) onDo(d doMsg, now time.Time) {
-	d.m.InFlight = false
+	d.m.Answered(d.starts, d.err == nil)
 	if d.err != nil {
 		// The commands may still be executed, even minutes later.
-		d.m.Unknown()
 		c.Log.Info("direct command unanswered", "machine", d.m.ID, "err", d.err)
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"marblehaven/internal/tuning"
@@ -25,14 +26,15 @@
 	Recorded bool
 	// Sent: its start may have left this or an earlier leader.
 	Sent bool
-	// Confirmed: the worker has shown it.
-	Confirmed bool
-	State     string    // as last reported
-	Since     time.Time // of the last change of State
-	Stopping  bool      // a stop was ordered
-	Grace     float64   // the stop's, in seconds
-	StopAt    time.Time // when the stop was first ordered
-	ByCommand bool      // ended because we stopped it
+	// StartToken is the token that its start was sent with. Copies of the start
+	// may arrive at any time until the worker has seen a higher one.
+	StartToken uint64
+	State      string    // as last reported
+	Since      time.Time // of the last change of State
+	Stopping   bool      // a stop was ordered
+	Grace      float64   // the stop's, in seconds
+	StopAt     time.Time // when the stop was first ordered
+	ByCommand  bool      // ended because we stopped it
 }
 
 // Machine is a rented machine. The leader's actor owns it.
@@ -43,6 +45,7 @@
 	Session, Seq uint64 // of the newest report
 	Shown        uint64 // the highest token that the worker has shown
 	Token        uint64 // the token we use towards this worker
+	Fence        uint64 // the token that it must have shown before it gets new work
 	LastReport   time.Time
 	LeaseEnd     time.Time // after it, what was on it in its session is gone
 	Lapsed       uint64    // the session that has surely ended
@@ -59,25 +62,46 @@
 
 	Live     map[Key]*Placement
 	Reported []wire.TaskReport
-	Outbox   []*Placement // recorded, to be sent
+	Outbox   []*Placement       // recorded, to be sent
+	started  map[attempt]uint64 // tokens of the starts of what is listed or live
 	failed   map[string]bool
 	images   []image // most recent first
 }
 
+type attempt struct {
+	Key
+	n uint64
+}
+
 type image struct {
 	name string
 	gb   float64
 }
 
 // New makes a machine known by its name only.
+// The token is the first of the present term.
 func New(id string, token uint64, now time.Time, leaseEnd time.Time) *Machine {
-	return &Machine{ID: id, Token: token, Rented: now, IdleSince: now, CardsIdle: now, LeaseEnd: leaseEnd,
+	return &Machine{ID: id, Token: token, Fence: token, started: map[attempt]uint64{}, Rented: now, IdleSince: now, CardsIdle: now, LeaseEnd: leaseEnd,
 		Live: map[Key]*Placement{}, failed: map[string]bool{}}
 }
 
-// Settled tells whether nothing that we or an earlier leader sent can still
-// change what the newest report says.
-func (m *Machine) Settled() bool { return !m.InFlight && m.Up && m.Shown >= m.Token }
+// Settled tells whether the outcomes of all commands sent here are known.
+func (m *Machine) Settled() bool { return !m.InFlight && m.Up && m.Shown >= m.Fence }
+
+// Start notes that a placement's start is about to be sent.
+func (m *Machine) Start(p *Placement) {
+	p.Sent, p.StartToken = true, m.Token
+	m.started[attempt{p.Key, p.Attempt}] = m.Token
+}
+
+// MayReap tells whether an ended attempt may be forgotten by the worker: not
+// while a start of it could still arrive, late or as a copy, and run it again.
+func (m *Machine) MayReap(k Key, n uint64) bool {
+	return !m.InFlight && m.Shown >= m.base() && m.Shown > m.started[attempt{k, n}]
+}
+
+// base is the first token of the present term.
+func (m *Machine) base() uint64 { return m.Token >> tuning.BatonShift << tuning.BatonShift }
 
 // Usable tells whether new work may be placed.
 func (m *Machine) Usable(now time.Time, silent time.Duration) bool {
@@ -140,19 +164,25 @@
 		case t != nil && t.State == wire.TaskExited:
 			// The worker ignores a repeated start as long as it lists the
 			// attempt, so the placement is over although a start may be late.
-			p.Confirmed = true
 			ended = append(ended, Ended{Placement: p, Cause: t.Cause, Saved: t.Saved})
 		case t != nil:
-			p.Confirmed, p.Sent = true, true
+			p.Sent = true
 			if p.State != t.State {
 				p.State, p.Since = t.State, now
 			}
-		case p.Confirmed, p.Sent && m.Settled():
-			// Absent: proof only if no start of it can be under way. An
-			// unsettled start may still arrive (late /do).
+		case p.Sent && !m.InFlight && m.Shown > p.StartToken:
+			// Absent: proof only once no start of it can arrive any more.
 			ended = append(ended, Ended{Placement: p})
 		}
 	}
+	for a := range m.started {
+		if m.Live[a.Key] == nil && !slices.ContainsFunc(r.Tasks, func(t wire.TaskReport) bool {
+			k, ok := parse(t.Task)
+			return ok && k == a.Key && t.Attempt == a.n
+		}) {
+			delete(m.started, a)
+		}
+	}
 	return ended, true
 }
 
@@ -179,9 +209,18 @@
 	}
 }
 
-// Unknown notes that a command's outcome is unknown: it may run late. The
-// higher token makes the worker refuse it once the token was shown.
-func (m *Machine) Unknown() { m.Token++ }
+// Answered notes how a direct command with or without starts went. The higher
+// token that follows makes the worker refuse late ones and copies of it once it
+// was shown. If the outcome is unknown, no new work is given before that.
+func (m *Machine) Answered(starts, known bool) {
+	m.InFlight = false
+	if starts || !known {
+		m.Token++
+	}
+	if !known {
+		m.Fence = m.Token
+	}
+}
 
 // Failed notes that a task of a job failed here. Different jobs failing on one
 // machine show that it is the machine.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -67,6 +67,20 @@
 
 const service = "marblehaven.Peer"
 
+// Service describes the calls between peers.
+var Service = grpc.ServiceDesc{
+	ServiceName: service,
+	HandlerType: (*Local)(nil),
+	Methods: []grpc.MethodDesc{
+		unary("Word", func(l Local, _ context.Context, a *Ask) *Word {
+			l.Heard(a.Leader)
+			w := l.Word(a.Summary)
+			return &w
+		}),
+		unary("UserCall", func(l Local, ctx context.Context, c *UserCall) *UserAnswer { return l.UserCall(ctx, c) }),
+	},
+}
+
 func unary[Req, Resp any](name string, f func(Local, context.Context, *Req) *Resp) grpc.MethodDesc {
 	return grpc.MethodDesc{MethodName: name, Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
 		in := new(Req)
@@ -80,18 +94,7 @@
 // Serve answers peers on the listener until ctx ends.
 func Serve(ctx context.Context, ln net.Listener, local Local) error {
 	s := grpc.NewServer(grpc.ForceServerCodec(codec{}), grpc.MaxRecvMsgSize(2*tuning.MaxBody))
-	s.RegisterService(&grpc.ServiceDesc{
-		ServiceName: service,
-		HandlerType: (*Local)(nil),
-		Methods: []grpc.MethodDesc{
-			unary("Word", func(l Local, _ context.Context, a *Ask) *Word {
-				l.Heard(a.Leader)
-				w := l.Word(a.Summary)
-				return &w
-			}),
-			unary("UserCall", func(l Local, ctx context.Context, c *UserCall) *UserAnswer { return l.UserCall(ctx, c) }),
-		},
-	}, local)
+	s.RegisterService(&Service, local)
 	go func() {
 		<-ctx.Done()
 		s.Stop()
@@ -107,7 +110,7 @@
 
 type link struct {
 	name string
-	conn *grpc.ClientConn
+	conn grpc.ClientConnInterface
 	last heard
 }
 
@@ -119,16 +122,21 @@
 	links []*link
 }
 
-// Dial prepares connections to the peers; they are made when used.
-func Dial(peers []config.Peer, local Local, log *slog.Logger) (*Group, error) {
+// Dial prepares a connection to a peer; it is made when used.
+func Dial(p config.Peer) (grpc.ClientConnInterface, error) {
+	bo := backoff.Config{BaseDelay: tuning.PeerRedial, Multiplier: 1.5, MaxDelay: tuning.PeerEvery}
+	return grpc.NewClient("passthrough:///"+p.Address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{})),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: tuning.PeerTimeout}),
+		grpc.WithNoProxy(), grpc.WithDisableServiceConfig())
+}
+
+// NewGroup makes the view of the peers over connections from dial.
+func NewGroup(peers []config.Peer, dial func(config.Peer) (grpc.ClientConnInterface, error), local Local, log *slog.Logger) (*Group, error) {
 	g := &Group{local: local, log: log}
-	bo := backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, MaxDelay: tuning.PeerEvery}
 	for _, p := range peers {
-		conn, err := grpc.NewClient("passthrough:///"+p.Address,
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{})),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: bo, MinConnectTimeout: tuning.PeerTimeout}),
-			grpc.WithNoProxy(), grpc.WithDisableServiceConfig())
+		conn, err := dial(p)
 		if err != nil {
 			return nil, err
 		}
@@ -143,7 +151,6 @@
 		go func() {
 			t := time.NewTicker(tuning.PeerEvery)
 			defer t.Stop()
-			defer l.conn.Close()
 			for {
 				g.ask(ctx, l, false)
 				select {
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,295 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marblehaven/internal/wire"
+)
+
+type entry struct {
+	value   msgpack.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type lease struct {
+	life    time.Duration
+	expires time.Time
+}
+
+// State is the state service.
+type State struct {
+	mu      sync.Mutex
+	rev     uint64
+	keys    map[string]entry
+	leases  map[uint64]*lease
+	nextID  uint64
+	log     []change
+	changed chan struct{}
+	refuse  map[string]bool // hosts that get 503; "" for all
+	// OnCommit is told of every applied commit.
+	OnCommit func(c *wire.Commit)
+}
+
+type change struct {
+	key string
+	ev  wire.Event
+}
+
+// NewState makes an empty state service.
+func NewState() *State {
+	return &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}}
+}
+
+// Refuse makes the service answer 503 to a host, or to all with "". When that
+// ends, every lease has its full time again.
+func (s *State) Refuse(host string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.refuse[host] = true
+		return
+	}
+	delete(s.refuse, host)
+	if host == "" {
+		for _, l := range s.leases {
+			l.expires = time.Now().Add(l.life)
+		}
+	}
+}
+
+// Keys lists the keys with a prefix.
+func (s *State) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *State) put(key string, e entry) {
+	s.keys[key] = e
+	s.log = append(s.log, change{key, wire.Event{Set: key, Value: e.value, Version: e.version}})
+}
+
+func (s *State) del(key string) {
+	if _, ok := s.keys[key]; ok {
+		delete(s.keys, key)
+		s.log = append(s.log, change{key, wire.Event{Delete: key, Version: s.rev}})
+	}
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases that are over; nothing expires while nobody is served.
+func (s *State) expire() {
+	if s.refuse[""] {
+		return
+	}
+	for id, l := range s.leases {
+		if time.Now().After(l.expires) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.leases, id)
+	for k, e := range s.keys {
+		if e.lease == id {
+			s.rev++
+			s.del(k)
+		}
+	}
+	s.wake()
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	if v != nil {
+		b, err := wire.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		w.Write(b)
+	}
+}
+
+type epoch struct {
+	Epoch uint64 `msgpack:"epoch"`
+}
+
+// ServeHTTP answers as PROTOCOL says.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	down := func() bool { return s.refuse[""] || s.refuse[r.RemoteAddr] }
+	if down() {
+		answer(w, 503, nil)
+		return
+	}
+	q := r.URL.Query()
+	body, _ := io.ReadAll(r.Body)
+	switch path := r.URL.Path; {
+	case path == "/keys":
+		most, _ := strconv.Atoi(q.Get("most"))
+		var keys []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
+				keys = append(keys, k)
+			}
+		}
+		slices.Sort(keys)
+		page := wire.Items{Revision: s.rev, Items: []wire.Item{}}
+		for _, k := range keys {
+			if len(page.Items) == min(most, 1000) {
+				page.More = true
+				break
+			}
+			page.Items = append(page.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
+		}
+		answer(w, 200, page)
+	case strings.HasPrefix(path, "/keys/"):
+		k := strings.TrimPrefix(path, "/keys/")
+		if e, ok := s.keys[k]; ok {
+			answer(w, 200, wire.Item{Key: k, Value: e.value, Version: e.version})
+		} else {
+			answer(w, 404, epoch{s.rev})
+		}
+	case path == "/commit":
+		s.commit(w, body)
+	case path == "/grants":
+		var g wire.GrantRequest
+		if err := wire.Unmarshal(body, &g); err != nil {
+			panic(err)
+		}
+		s.nextID++
+		life := time.Duration(g.LifeMS) * time.Millisecond
+		s.leases[s.nextID] = &lease{life, time.Now().Add(life)}
+		id := s.nextID
+		go s.watchLease(id, life)
+		answer(w, 200, wire.Grant{Lease: id})
+	case strings.HasSuffix(path, "/touch"):
+		id, _ := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
+		if l := s.leases[id]; l != nil {
+			l.expires = time.Now().Add(l.life)
+			answer(w, 200, wire.Grant{Lease: id})
+		} else {
+			answer(w, 404, nil)
+		}
+	case path == "/follow":
+		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+		hold, _ := strconv.Atoi(q.Get("holdMs"))
+		until := time.NewTimer(time.Duration(hold) * time.Millisecond)
+		defer until.Stop()
+		for over := false; ; {
+			out := wire.Events{Revision: s.rev, Events: []wire.Event{}}
+			for _, c := range s.log {
+				if c.ev.Version > after && strings.HasPrefix(c.key, q.Get("prefix")) {
+					out.Events = append(out.Events, c.ev)
+				}
+			}
+			// During an outage open watches stay open.
+			if (len(out.Events) > 0 || over) && !down() {
+				answer(w, 200, out)
+				return
+			}
+			ch := s.changed
+			s.mu.Unlock()
+			if over {
+				time.Sleep(100 * time.Millisecond)
+			} else {
+				select {
+				case <-ch:
+				case <-until.C:
+					over = true
+				}
+			}
+			s.mu.Lock()
+			s.expire()
+		}
+	default:
+		answer(w, 404, nil)
+	}
+}
+
+func (s *State) watchLease(id uint64, life time.Duration) {
+	for {
+		time.Sleep(life / 10)
+		s.mu.Lock()
+		s.expire()
+		_, ok := s.leases[id]
+		s.mu.Unlock()
+		if !ok {
+			return
+		}
+	}
+}
+
+func (s *State) commit(w http.ResponseWriter, body []byte) {
+	var c struct {
+		Guards  []wire.Guard `msgpack:"guards"`
+		Changes []struct {
+			Set    string             `msgpack:"set"`
+			Value  msgpack.RawMessage `msgpack:"data"`
+			Lease  uint64             `msgpack:"permit"`
+			Delete string             `msgpack:"delete"`
+		} `msgpack:"then"`
+	}
+	if err := wire.Unmarshal(body, &c); err != nil {
+		answer(w, 400, wire.ErrorReply{Error: err.Error()})
+		return
+	}
+	for _, ch := range c.Changes {
+		if ch.Lease != 0 && s.leases[ch.Lease] == nil {
+			answer(w, 400, wire.ErrorReply{Error: wire.ErrNoLease})
+			return
+		}
+	}
+	failed := []string{}
+	for _, g := range c.Guards {
+		if s.keys[g.Key].version != g.Version {
+			failed = append(failed, g.Key)
+		}
+	}
+	if len(failed) > 0 {
+		answer(w, 409, wire.CommitReply{Failed: failed, Revision: s.rev})
+		return
+	}
+	if len(c.Changes) > 0 {
+		s.rev++
+		for _, ch := range c.Changes {
+			if ch.Delete != "" {
+				s.del(ch.Delete)
+			} else {
+				s.put(ch.Set, entry{slices.Clone(ch.Value), s.rev, ch.Lease})
+			}
+		}
+		s.wake()
+	}
+	if s.OnCommit != nil {
+		out := &wire.Commit{Guards: c.Guards}
+		for _, ch := range c.Changes {
+			out.Changes = append(out.Changes, wire.Change{Set: ch.Set, Delete: ch.Delete})
+		}
+		s.OnCommit(out)
+	}
+	answer(w, 200, wire.CommitReply{Revision: s.rev})
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,383 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"marblehaven/internal/wire"
+)
+
+type task struct {
+	ref     string
+	num     int
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	since   time.Time // of state
+	left    float64   // seconds of work, while running
+}
+
+func (t *task) onMachine() bool { return t.state != wire.TaskExited && t.state != wire.TaskFetching }
+
+type machine struct {
+	w       *World
+	id      string
+	addr    string
+	typ     wire.MachineType
+	zone    string
+	spot    bool
+	rented  time.Time
+	up      bool
+	gone    bool
+	hung    bool
+	notice  time.Time
+	session uint64
+	seq     uint64
+	token   uint64
+	begun   time.Time // of the session
+	renewed time.Time // when the last answered report was sent
+	tasks   []*task
+	images  map[string]bool
+	changed bool
+	node    int
+}
+
+func (w *World) newMachine(typ, zone string, spot bool) string {
+	id := fmt.Sprintf("m-%06d", w.nextID)
+	w.nextID++
+	m := &machine{w: w, id: id, addr: id + ":9000", typ: w.types[typ], zone: zone, spot: spot, rented: time.Now(), images: map[string]bool{}}
+	w.machines[id] = m
+	go m.run()
+	return id
+}
+
+// Hang stops a machine from doing anything until the returned function is
+// called.
+func (w *World) Hang(id string) func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.machines[id]
+	m.hung = true
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		m.hung = false
+	}
+}
+
+func (m *machine) end()        { m.gone = true }
+func (m *machine) changedNow() { m.changed = true }
+
+func (m *machine) run() {
+	time.Sleep(time.Duration(m.typ.BootS * float64(time.Second)))
+	m.w.mu.Lock()
+	if m.gone {
+		m.w.mu.Unlock()
+		return
+	}
+	m.up, m.session, m.begun = true, 1, time.Now()
+	m.w.mu.Unlock()
+	m.w.Net.Listen(m.id, m.addr, http.HandlerFunc(m.serve))
+	go m.report()
+	for {
+		time.Sleep(50 * time.Millisecond)
+		m.w.mu.Lock()
+		if m.gone || m.w.life.Err() != nil {
+			m.w.mu.Unlock()
+			return
+		}
+		m.expire() // a hanging machine's lease ends all the same
+		if !m.hung {
+			m.step(0.05)
+		}
+		m.w.mu.Unlock()
+	}
+}
+
+// expire ends the session if its lease is over.
+func (m *machine) expire() {
+	from := m.begun
+	if m.renewed.After(from) {
+		from = m.renewed
+	}
+	if time.Since(from).Seconds() > m.w.Cfg.Workers.LeaseS {
+		m.tasks, m.session, m.begun, m.changed = nil, m.session+1, time.Now(), true
+		m.w.gangsChanged()
+	}
+}
+
+// step lets tasks go on.
+func (m *machine) step(dt float64) {
+	for _, t := range m.tasks {
+		u := m.w.jobs[t.ref]
+		age := time.Since(t.since).Seconds()
+		switch t.state {
+		case wire.TaskFetching:
+			if m.images[u.job.Image] || age >= u.job.ImageGB/m.typ.FetchGBps {
+				m.images[u.job.Image] = true
+				switch {
+				case u.finished[t.num]:
+					m.exit(t, wire.CauseDone)
+				case u.job.Shape == wire.Gang:
+					m.enter(t, wire.TaskWaiting)
+				default:
+					t.left = u.runS
+					m.enter(t, wire.TaskRunning)
+				}
+				m.w.started(m, t)
+				m.w.gangsChanged()
+			}
+		case wire.TaskWaiting:
+			if age > m.w.Cfg.Workers.GangWaitS {
+				m.exit(t, "incomplete")
+			}
+		case wire.TaskRunning:
+			if u.job.Shape == wire.Service {
+				continue
+			}
+			if t.left -= dt; t.left <= 0 {
+				u.finished[t.num] = true
+				m.exit(t, wire.CauseDone)
+			}
+		case wire.TaskSaving:
+			if age >= u.job.SaveS {
+				t.saved = true
+				m.exit(t, wire.CauseStopped)
+			}
+		}
+	}
+}
+
+func (m *machine) enter(t *task, state string) { t.state, t.since, m.changed = state, time.Now(), true }
+
+func (m *machine) exit(t *task, cause string) {
+	t.cause = cause
+	m.enter(t, wire.TaskExited)
+	m.w.gangsChanged()
+}
+
+// gangsChanged starts gangs that are complete and ends running ones that lost
+// a task. (A lost task is noticed at once here, which PROTOCOL allows.)
+func (w *World) gangsChanged() {
+	type gang struct {
+		ref     string
+		attempt uint64
+	}
+	waiting, running := map[gang][]*task{}, map[gang][]*task{}
+	for _, m := range w.machines {
+		for _, t := range m.tasks {
+			g := gang{t.ref, t.attempt}
+			switch {
+			case w.jobs[t.ref].job.Shape != wire.Gang:
+			case t.state == wire.TaskWaiting:
+				waiting[g] = append(waiting[g], t)
+			case t.state == wire.TaskRunning:
+				running[g] = append(running[g], t)
+			}
+		}
+	}
+	for g, ts := range waiting {
+		if u := w.jobs[g.ref]; len(ts) == u.job.Tasks {
+			for _, t := range ts {
+				t.state, t.since, t.left = wire.TaskRunning, time.Now(), u.runS
+			}
+		}
+	}
+	for g, ts := range running {
+		u := w.jobs[g.ref]
+		if len(ts) == u.job.Tasks {
+			continue
+		}
+		for _, t := range ts {
+			t.state, t.since, t.cause = wire.TaskExited, time.Now(), "peers"
+			if len(u.finished) > 0 { // they complete together
+				u.finished[t.num], t.cause = true, wire.CauseDone
+			}
+		}
+	}
+}
+
+func (m *machine) message() wire.Report {
+	m.seq++
+	r := wire.Report{Machine: m.id, Addr: m.addr, Type: m.typ.Name, Zone: m.zone, Spot: m.spot, Session: m.session,
+		Seq: m.seq, Token: m.token, Tasks: []wire.TaskReport{}}
+	if !m.notice.IsZero() {
+		left := time.Until(m.notice).Seconds()
+		r.Notice = &left
+	}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("%s/%d", t.ref, t.num), Attempt: t.attempt,
+			State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+// report is the loop of reports.
+func (m *machine) report() {
+	hc := &http.Client{Transport: m.w.Net.From(m.w.life, m.id)}
+	last := time.Now().Add(-time.Hour)
+	for {
+		time.Sleep(100 * time.Millisecond)
+		m.w.mu.Lock()
+		if m.gone || m.w.life.Err() != nil {
+			m.w.mu.Unlock()
+			return
+		}
+		due := time.Since(last).Seconds() >= m.w.Cfg.Workers.ReportS || (m.changed && time.Since(last) >= 500*time.Millisecond)
+		if m.hung || !due || len(m.w.Nodes) == 0 {
+			m.w.mu.Unlock()
+			continue
+		}
+		m.changed = false
+		msg := m.message()
+		addr := m.w.Nodes[m.node%len(m.w.Nodes)]
+		m.w.mu.Unlock()
+		last = time.Now()
+		ctx, cancel := context.WithTimeout(m.w.life, 4*time.Second)
+		var ans wire.HelloReply
+		var redirect wire.Redirect
+		status, err := wire.Call(ctx, hc, http.MethodPost, "http://"+addr+"/hello", msg, map[int]any{200: &ans, 421: &redirect})
+		cancel()
+		m.w.mu.Lock()
+		if status == 200 && err == nil {
+			if ans.Token >= m.token && msg.Session == m.session && !m.gone {
+				m.renewed = last
+				m.setToken(ans.Token)
+				m.execute(ans.Orders)
+			}
+			m.w.mu.Unlock()
+			continue
+		}
+		to := -1
+		for i, a := range m.w.Nodes {
+			if redirect.Leader != "" && m.w.addrNode[redirect.Leader] == a && a != addr {
+				to = i
+			}
+		}
+		m.w.mu.Unlock()
+		if to >= 0 {
+			m.node = to
+		} else {
+			m.node++
+			time.Sleep(time.Second)
+		}
+		last = time.Now().Add(-time.Hour)
+	}
+}
+
+func (m *machine) setToken(t uint64) {
+	if t > m.token {
+		m.token, m.changed = t, true
+	}
+}
+
+func (m *machine) find(ref string, num int) *task {
+	for _, t := range m.tasks {
+		if t.ref == ref && t.num == num {
+			return t
+		}
+	}
+	return nil
+}
+
+func (m *machine) execute(orders []wire.Order) {
+	for _, o := range orders {
+		ref, num := parseTask(o.Task)
+		var same *task
+		for _, t := range m.tasks {
+			if t.ref == ref && t.num == num && t.attempt == o.Attempt {
+				same = t
+			}
+		}
+		switch o.Verb {
+		case wire.VerbStart:
+			if same == nil {
+				m.start(ref, num, o.Attempt)
+			}
+		case wire.VerbStop:
+			if same == nil || same.state == wire.TaskExited {
+				continue
+			}
+			u := m.w.jobs[ref]
+			saves := same.state == wire.TaskRunning && u.job.CheckpointS > 0 && o.Grace >= u.job.SaveS
+			switch {
+			case saves:
+				m.enter(same, wire.TaskSaving)
+			case same.state != wire.TaskSaving || o.Grace == 0:
+				m.exit(same, wire.CauseStopped)
+			}
+		case wire.VerbForget:
+			for i, t := range m.tasks {
+				if t == same && t.state == wire.TaskExited {
+					m.tasks = append(m.tasks[:i:i], m.tasks[i+1:]...)
+					m.changed = true
+					break
+				}
+			}
+		}
+	}
+}
+
+func (m *machine) start(ref string, num int, attempt uint64) {
+	t := &task{ref: ref, num: num, attempt: attempt, state: wire.TaskExited, since: time.Now()}
+	m.changed = true
+	u := m.w.jobs[ref]
+	if u == nil {
+		t.cause = wire.CauseUnknown
+		m.tasks = append(m.tasks, t)
+		return
+	}
+	cores, cards, mem := m.typ.Cores, m.typ.Cards, m.typ.MemGB
+	for _, o := range m.tasks {
+		if o.state != wire.TaskExited {
+			d := &m.w.jobs[o.ref].job
+			cores, cards, mem = cores-d.Cores, cards-d.Cards, mem-d.MemGB
+		}
+	}
+	other := m.find(ref, num)
+	switch {
+	case other != nil && other.state != wire.TaskExited:
+		t.cause = wire.CauseBusy
+	case u.job.Cores > cores+1e-6 || u.job.Cards > cards+1e-6 || u.job.MemGB > mem+1e-6:
+		t.cause = wire.CauseNoRoom
+	default:
+		t.state = wire.TaskFetching
+	}
+	m.tasks = append(m.tasks, t)
+}
+
+// serve answers direct commands. A hanging machine answers when it goes on.
+func (m *machine) serve(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	for m.hung && !m.gone {
+		m.w.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		m.w.mu.Lock()
+	}
+	if m.gone {
+		answer(rw, 502, nil)
+		return
+	}
+	if r.URL.Path == "/status" {
+		answer(rw, 200, m.message())
+		return
+	}
+	var req wire.DoRequest
+	if wire.Unmarshal(body, &req) != nil {
+		answer(rw, 400, nil)
+		return
+	}
+	if req.Token < m.token || req.Session != m.session {
+		answer(rw, 409, m.message())
+		return
+	}
+	m.setToken(req.Token)
+	m.execute(req.Orders)
+	answer(rw, 200, m.message())
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,416 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/wire"
+)
+
+// World is the cloud, its workers and the users, with the checker that judges
+// what they see. One mutex guards it all.
+type World struct {
+	Net   *Network
+	State *State
+	Cfg   config.Deployment
+	Nodes []string // addresses of the users' side of the nodes
+
+	life      context.Context
+	mu        sync.Mutex
+	types     map[string]wire.MachineType
+	capacity  map[string]int // per type, zone and kind; absent: plenty
+	machines  map[string]*machine
+	claims    map[string][]string
+	nextID    int
+	jobs      map[string]*userJob
+	broken    []string
+	Calls     map[string]int // calls of the cloud, by path
+	LoseReply func(path string) bool
+	addrNode  map[string]string // node name -> address
+}
+
+// userJob is a job as its user knows it.
+type userJob struct {
+	job         wire.Job
+	runS        float64
+	submitted   bool
+	accepted    bool
+	cancelAsked bool
+	cancelled   time.Time // when the user was told
+	done        bool      // the user was told
+	finished    map[int]bool
+}
+
+// NewWorld makes a world on a network. Its life ends with ctx.
+func NewWorld(ctx context.Context, net *Network, cfg config.Deployment, types []wire.MachineType) *World {
+	w := &World{Net: net, State: NewState(), Cfg: cfg, life: ctx, types: map[string]wire.MachineType{},
+		capacity: map[string]int{}, machines: map[string]*machine{}, claims: map[string][]string{},
+		jobs: map[string]*userJob{}, Calls: map[string]int{}, addrNode: map[string]string{}}
+	for _, t := range types {
+		w.types[t.Name] = t
+	}
+	net.Listen("state", "state:1", w.State)
+	net.Listen("cloud", "cloud:1", http.HandlerFunc(w.cloud))
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(200 * time.Millisecond)
+			w.checkCancelled()
+		}
+	}()
+	return w
+}
+
+// AddNode tells users and workers of a node.
+func (w *World) AddNode(name, addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Nodes = append(w.Nodes, addr)
+	w.addrNode[name] = addr
+}
+
+// Limit sets how many machines of a type, zone and kind there are.
+func (w *World) Limit(typ, zone string, spot bool, n int) {
+	w.capacity[fmt.Sprint(typ, zone, spot)] = n
+}
+
+// Broken lists the rules broken so far.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.broken)
+}
+
+func (w *World) breakRule(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// Machines lists the machines that are up.
+func (w *World) Machines() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for id, m := range w.machines {
+		if m.up {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Rented is how many machines were ever rented.
+func (w *World) Rented() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nextID
+}
+
+// On lists the machines on which tasks of a job are, with or without image.
+func (w *World) On(ref string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for id, m := range w.machines {
+		for _, t := range m.tasks {
+			if t.ref == ref && t.state != wire.TaskExited {
+				out = append(out, id)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Kill takes a machine away without a word.
+func (w *World) Kill(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.remove(id)
+}
+
+func (w *World) remove(id string) {
+	if m := w.machines[id]; m != nil {
+		m.end()
+		delete(w.machines, id)
+		w.Net.Listen(id, m.addr, nil)
+		w.gangsChanged()
+	}
+}
+
+// Notice announces that a machine will be taken.
+func (w *World) Notice(id string, in time.Duration) {
+	w.mu.Lock()
+	m := w.machines[id]
+	m.notice = time.Now().Add(in)
+	m.changedNow()
+	w.mu.Unlock()
+	go func() {
+		time.Sleep(in)
+		w.Kill(id)
+	}()
+}
+
+func (w *World) cloud(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Calls[r.URL.Path]++
+	status, v := w.cloudCall(r, body)
+	if w.LoseReply != nil && w.LoseReply(r.URL.Path) {
+		status, v = 502, nil
+	}
+	answer(rw, status, v)
+}
+
+func (w *World) cloudCall(r *http.Request, body []byte) (int, any) {
+	switch {
+	case r.URL.Path == "/catalog":
+		var c wire.Catalog
+		for _, t := range w.types {
+			c.Types = append(c.Types, t)
+		}
+		slices.SortFunc(c.Types, func(a, b wire.MachineType) int { return strings.Compare(a.Name, b.Name) })
+		return 200, c
+	case r.URL.Path == "/rentals" && r.Method == http.MethodPost:
+		var req wire.RentRequest
+		if wire.Unmarshal(body, &req) != nil || req.Count < 1 || req.Count > 50 {
+			return 400, nil
+		}
+		if hosts, ok := w.claims[req.Claim]; ok {
+			return 200, wire.Hosts{Hosts: hosts}
+		}
+		n := req.Count
+		if limit, ok := w.capacity[fmt.Sprint(req.Type, req.Zone, req.Spot)]; ok {
+			for _, m := range w.machines {
+				if m.typ.Name == req.Type && m.zone == req.Zone && m.spot == req.Spot {
+					limit--
+				}
+			}
+			n = min(n, limit)
+		}
+		if n <= 0 {
+			return 503, wire.ErrorReply{Error: "no capacity"}
+		}
+		var hosts []string
+		for range n {
+			hosts = append(hosts, w.newMachine(req.Type, req.Zone, req.Spot))
+		}
+		w.claims[req.Claim] = hosts
+		return 200, wire.Hosts{Hosts: hosts}
+	case r.URL.Path == "/rentals/return":
+		var h wire.Hosts
+		if wire.Unmarshal(body, &h) != nil || len(h.Hosts) > 100 {
+			return 400, nil
+		}
+		for _, id := range h.Hosts {
+			w.remove(id)
+		}
+		return 200, nil
+	case r.URL.Path == "/rentals":
+		list := wire.MachineList{Machines: []wire.ListedMachine{}}
+		for id, m := range w.machines {
+			if age := time.Since(m.rented).Seconds(); age > w.Cfg.Cloud.ListLagS {
+				phase := wire.MachineStarting
+				if m.up {
+					phase = "running"
+				}
+				list.Machines = append(list.Machines, wire.ListedMachine{ID: id, Addr: m.addr, Type: m.typ.Name,
+					Zone: m.zone, Spot: m.spot, State: phase, AgeS: age})
+			}
+		}
+		slices.SortFunc(list.Machines, func(a, b wire.ListedMachine) int { return strings.Compare(a.ID, b.ID) })
+		return 200, list
+	}
+	return 404, nil
+}
+
+// Submit registers a job (users upload its description) and submits it until
+// it gets an answer that is not retried. It returns the status.
+func (w *World) Submit(job wire.Job, runS float64) int {
+	w.mu.Lock()
+	if w.jobs[job.ID] == nil {
+		w.jobs[job.ID] = &userJob{job: job, runS: runS, finished: map[int]bool{}}
+	}
+	u := w.jobs[job.ID]
+	u.submitted = true
+	before := *u
+	w.mu.Unlock()
+	status, st := w.ask(http.MethodPost, "/v1/jobs", jobMap(&job), 5*time.Second, 60*time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if status == 200 || status == 201 {
+		u.accepted = true
+		w.judge(u, before, st)
+	} else if before.accepted && (status == 400 || status == 422) {
+		w.breakRule("forgotten: %s submitted again gets %d", job.ID, status)
+	}
+	return status
+}
+
+// jobMap spells a job as users do; only what has a value where null is allowed.
+func jobMap(j *wire.Job) map[string]any {
+	m := map[string]any{"ref": j.ID, "workload": j.Class, "owner": j.Team, "shape": j.Shape, "rank": j.Rank,
+		"pieces": j.Tasks, "cores": j.Cores, "cards": j.Cards, "memGb": j.MemGB, "bundle": j.Image,
+		"imageGb": j.ImageGB, "samePlace": j.OneZone, "spread": j.Spread, "loaners": j.Spot,
+		"guessS": j.EstimateS, "snapshotS": j.CheckpointS, "flushS": j.SaveS, "quarry": nil, "unheardOf": []int{1}}
+	if j.Types != nil {
+		m["flavors"] = j.Types
+	}
+	if j.Zone != "" {
+		m["quarry"] = j.Zone
+	}
+	if j.DeadlineS > 0 {
+		m["dueS"] = j.DeadlineS
+	}
+	return m
+}
+
+// Poll asks once for a job's state.
+func (w *World) Poll(ref string) (int, wire.JobStatus) {
+	w.mu.Lock()
+	u := w.jobs[ref]
+	var before userJob // what the user had been told when it asked
+	if u != nil {
+		before = *u
+	}
+	w.mu.Unlock()
+	status, st := w.ask(http.MethodGet, "/v1/jobs/"+ref, nil, 2*time.Second, 0)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u = w.jobs[ref]
+	switch {
+	case status == 200 && (u == nil || !u.submitted):
+		w.breakRule("invented: %s", ref)
+	case status == 404 && before.accepted:
+		w.breakRule("forgotten: %s gets 404", ref)
+	case status == 200:
+		w.judge(u, before, st)
+	}
+	return status, st
+}
+
+// judge takes in what a user is told, who knew before what it asked with.
+func (w *World) judge(u *userJob, before userJob, st wire.JobStatus) {
+	switch {
+	case before.done && st.Phase != wire.PhaseDone, !before.cancelled.IsZero() && st.Phase != wire.PhaseCancelled:
+		w.breakRule("went_back: %s is called %s", u.job.ID, st.Phase)
+	case st.Phase == wire.PhaseCancelled && !u.cancelAsked:
+		w.breakRule("went_back: %s is called cancelled, its user did not ask", u.job.ID)
+	case st.Phase == wire.PhaseDone && len(u.finished) < u.job.Tasks:
+		w.breakRule("not_done: %s is called done", u.job.ID)
+	}
+	if st.Phase == wire.PhaseDone {
+		u.done = true
+	}
+	if st.Phase == wire.PhaseCancelled && u.cancelled.IsZero() {
+		u.cancelled = time.Now()
+	}
+}
+
+// Withdraw cancels a job, repeating the request until it is answered.
+func (w *World) Withdraw(ref string) (int, wire.JobStatus) {
+	w.mu.Lock()
+	u := w.jobs[ref]
+	u.cancelAsked = true
+	before := *u
+	w.mu.Unlock()
+	status, st := w.ask(http.MethodPost, "/v1/jobs/"+ref+"/withdraw", nil, 5*time.Second, 120*time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if status == 200 {
+		w.judge(u, before, st)
+	}
+	return status, st
+}
+
+// ask makes a call to some node, again and again until it is answered or the
+// time is over.
+func (w *World) ask(method, path string, in any, each, total time.Duration) (int, wire.JobStatus) {
+	start := time.Now()
+	for {
+		addr := w.Nodes[int(w.Net.float()*float64(len(w.Nodes)))]
+		ctx, cancel := context.WithTimeout(w.life, each)
+		var st wire.JobStatus
+		status, err := wire.Call(ctx, &http.Client{Transport: w.Net.From(w.life, "users")}, method, "http://"+addr+path, in,
+			map[int]any{200: &st, 201: &st})
+		cancel()
+		if err == nil && status != 429 && status < 500 {
+			return status, st
+		}
+		if w.life.Err() != nil || time.Since(start) > total {
+			return status, st
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// started judges a task that begins to be on a machine.
+func (w *World) started(m *machine, t *task) {
+	u := w.jobs[t.ref]
+	d := &u.job
+	zones := map[string]int{}
+	var cores, cards float64
+	for _, o := range w.machines {
+		for _, x := range o.tasks {
+			if !x.onMachine() || x == t {
+				continue
+			}
+			if x.ref == t.ref && x.num == t.num {
+				w.breakRule("ran_twice: %s/%d try %d on %s since %v and try %d on %s (hung %v, up %v, tenure %d) at %v", t.ref, t.num, x.attempt, o.id, x.since, t.attempt, m.id, o.hung, o.up, o.session, time.Now())
+			}
+			if x.ref == t.ref {
+				zones[o.zone]++
+			}
+			if y := w.jobs[x.ref]; y.job.Team == d.Team {
+				cores += y.job.Cores
+				cards += y.job.Cards
+			}
+		}
+	}
+	for _, team := range w.Cfg.Teams {
+		if team.Name == d.Team && ((team.CoresMax > 0 && cores+d.Cores > team.CoresMax+1e-6) || (team.CardsMax > 0 && cards+d.Cards > team.CardsMax+1e-6)) {
+			w.breakRule("quota: %s with %s/%d on %s: %v of %v cores, %v of %v cards at %v", d.Team, t.ref, t.num, m.id, cores+d.Cores, team.CoresMax, cards+d.Cards, team.CardsMax, time.Now())
+		}
+	}
+	zones[m.zone]++
+	switch {
+	case len(d.Types) > 0 && !slices.Contains(d.Types, m.typ.Name), d.Zone != "" && d.Zone != m.zone, m.spot && !d.Spot,
+		d.OneZone && len(zones) > 1, d.Spread && zones[m.zone] > (d.Tasks+1)/2:
+		w.breakRule("wrong_place: %s/%d on %s", t.ref, t.num, m.id)
+	}
+	if !u.accepted && !u.submitted {
+		w.breakRule("invented: %s runs", t.ref)
+	}
+	w.overdue(m, t)
+}
+
+func (w *World) overdue(m *machine, t *task) {
+	u := w.jobs[t.ref]
+	if !u.cancelled.IsZero() && time.Since(u.cancelled).Seconds() > w.Cfg.Workers.CancelS && t.onMachine() {
+		w.breakRule("ran_cancelled: %s/%d on %s", t.ref, t.num, m.id)
+	}
+}
+
+func (w *World) checkCancelled() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		for _, t := range m.tasks {
+			w.overdue(m, t)
+		}
+	}
+}
+
+func parseTask(s string) (string, int) {
+	ref, num, _ := strings.Cut(s, "/")
+	n, _ := strconv.Atoi(num)
+	return ref, n
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,6 +120,8 @@
 	ErrorLogEvery = 5 * time.Second
 	// PeerEvery is the pause between status exchanges with peers.
 	PeerEvery = 1 * time.Second
+	// PeerRedial is the first pause before a lost peer is dialled again.
+	PeerRedial = 200 * time.Millisecond
 	// PeerTimeout ends a call to a peer.
 	PeerTimeout = 1 * time.Second
 	// ForwardTimeout ends a user's call passed to a peer; a poll has 2 s in all.
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"marblehaven/internal/api"
 	"marblehaven/internal/cloud"
 	"marblehaven/internal/config"
@@ -41,7 +43,9 @@
 	cloud   *cloud.Client
 	keeper  *election.Keeper
 	users   *api.Users
+	workers *worker.Client
 	peers   *peer.Group
+	api     *api.Server
 	leading atomic.Pointer[controller.Controller]
 }
 
@@ -57,41 +61,65 @@
 	if err != nil {
 		return fmt.Errorf("field peer_bind: %w", err)
 	}
-	n := &node{cfg: cfg, log: log}
-	n.store = statestore.New(cfg.Services.State, transport(tuning.StateConns))
-	n.cloud = cloud.New(cfg.Services.Cloud, transport(tuning.CloudConns), cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
-	n.keeper = election.New(n.store, cfg.Node, log)
-	n.users = api.NewUsers(cfg, n.store, log)
-	if n.peers, err = peer.Dial(cfg.Peers, n, log); err != nil {
+	n, err := newNode(cfg, log, links{
+		state: transport(tuning.StateConns), cloud: transport(tuning.CloudConns), workers: transport(1), peer: peer.Dial,
+	})
+	if err != nil {
 		return fmt.Errorf("field peers: %w", err)
 	}
-	workers := worker.New(transport(1))
 	go func() {
 		if err := peer.Serve(ctx, peerLn, n); err != nil && ctx.Err() == nil {
 			log.Error("peers' address", "err", err)
 		}
 	}()
-	n.peers.Run(ctx)
-	go n.learnTypes(ctx)
-	go n.keeper.Run(ctx, func(ctx context.Context, held election.Held) {
-		c := controller.New(controller.Deps{
-			Config: cfg, Store: n.store, Cloud: n.cloud, Worker: workers, Log: log,
-			OnTerm:       func(t uint64) { n.keeper.Observe(ledger.Term{N: t}) },
-			PeersConfirm: n.peers.Confirm,
-		}, held)
-		c.Bind(ctx)
-		n.leading.Store(c)
-		defer n.leading.Store(nil)
-		c.Run()
-	})
+	n.start(ctx)
 	log.Info("serving", "node", cfg.Node, "address", cfg.APIAddr)
-	srv := &api.Server{Name: cfg.Node, Users: n.users, Node: n, Peers: n.peers, Log: log}
-	if err := srv.Serve(ctx, apiLn); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := n.api.Serve(ctx, apiLn); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
+// links are a node's ways to the other parts of the system.
+type links struct {
+	state, cloud, workers http.RoundTripper
+	peer                  func(config.Peer) (grpc.ClientConnInterface, error)
+}
+
+func newNode(cfg *Config, log *slog.Logger, l links) (*node, error) {
+	n := &node{cfg: cfg, log: log}
+	n.store = statestore.New(cfg.Services.State, l.state)
+	n.cloud = cloud.New(cfg.Services.Cloud, l.cloud, cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
+	n.workers = worker.New(l.workers)
+	n.keeper = election.New(n.store, cfg.Node, log)
+	n.users = api.NewUsers(cfg, n.store, log)
+	var err error
+	if n.peers, err = peer.NewGroup(cfg.Peers, l.peer, n, log); err != nil {
+		return nil, err
+	}
+	n.api = api.NewServer(cfg.Node, n.users, n, n.peers, log)
+	return n, nil
+}
+
+// start begins everything but serving; it ends with ctx.
+func (n *node) start(ctx context.Context) {
+	n.peers.Run(ctx)
+	go n.learnTypes(ctx)
+	go n.keeper.Run(ctx, n.lead)
+}
+
+func (n *node) lead(ctx context.Context, held election.Held) {
+	c := controller.New(controller.Deps{
+		Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n.workers, Log: n.log,
+		OnTerm:       func(t uint64) { n.keeper.Observe(ledger.Term{N: t}) },
+		PeersConfirm: n.peers.Confirm,
+	}, held)
+	c.Bind(ctx)
+	n.leading.Store(c)
+	defer n.leading.Store(nil)
+	c.Run()
+}
+
 func transport(conns int) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: -1}).DialContext,
--- /dev/null
+++ b/scenario_test.go
@@ -0,0 +1,514 @@
+package marblehaven
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/peer"
+	"marblehaven/internal/standin"
+	"marblehaven/internal/wire"
+)
+
+// cluster is three real nodes in a stand-in world, in synthetic time.
+type cluster struct {
+	t     *testing.T
+	ctx   context.Context
+	net   *standin.Network
+	w     *standin.World
+	log   *slog.Logger
+	mu    sync.Mutex
+	nodes map[string]*node
+	stops map[string]func()
+	mends []func()
+	jobs  []string
+}
+
+var nodeNames = []string{"marble-0", "marble-1", "marble-2"}
+
+var testTypes = []wire.MachineType{
+	{Name: "small", Cores: 4, MemGB: 16, CacheGB: 40, FetchGBps: 1, Price: 0.2, SpotPrice: 0.06, BootS: 20, Zones: []string{"a", "b"}},
+	{Name: "big", Cores: 16, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 1, SpotPrice: 0.3, BootS: 25, Zones: []string{"a", "b"}},
+	{Name: "card", Cores: 16, Cards: 4, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 9, SpotPrice: 3, BootS: 25, Zones: []string{"a", "b"}},
+}
+
+func deployment() config.Deployment {
+	var d config.Deployment
+	d.Count, d.Zones = 3, []string{"a", "b"}
+	d.Teams = []config.Team{{Name: "red", Cores: 16, CoresMax: 40, Cards: 4, CardsMax: 8}, {Name: "blue", Cores: 16, CoresMax: 40}}
+	d.Workers = config.Workers{ReportS: 2.5, LeaseS: 12, GangWaitS: 35, GangPeerS: 4, CancelS: 37}
+	d.State = config.State{RPS: 250, WriteRPS: 50, ValueKB: 32, TxnOps: 20}
+	d.Cloud = config.Cloud{RPS: 4, ListLagS: 10}
+	d.Limits = config.Limits{CPUShare: 1, MemoryMB: 1000, Sockets: 1000}
+	return d
+}
+
+// run plays a scenario and judges it by the rules.
+func run(t *testing.T, seed uint64, scenario func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cluster{t: t, ctx: ctx, net: standin.NewNetwork(seed), nodes: map[string]*node{}, stops: map[string]func(){}}
+		out := io.Discard
+		if os.Getenv("SCENARIO_LOG") != "" {
+			out = os.Stderr
+		}
+		c.log = slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+		c.w = standin.NewWorld(ctx, c.net, deployment(), testTypes)
+		for i, name := range nodeNames {
+			c.w.AddNode(name, fmt.Sprintf("10.0.0.%d:80", i+1))
+			c.boot(name)
+		}
+		time.Sleep(2 * time.Second)
+		scenario(c)
+		for _, rule := range c.w.Broken() {
+			t.Error("rule broken:", rule)
+		}
+		for _, mend := range c.mends {
+			mend()
+		}
+		for _, stop := range c.stops {
+			stop()
+		}
+		cancel()
+		time.Sleep(time.Minute) // what is under way comes to its end
+	})
+}
+
+// boot starts a node, as a new process would.
+func (c *cluster) boot(name string) {
+	i := slices.Index(nodeNames, name)
+	cfg := &Config{Node: name, APIAddr: fmt.Sprintf("10.0.0.%d:80", i+1), Deployment: deployment(), Operator: config.DefaultOperator()}
+	cfg.Services.Cloud, cfg.Services.State = "cloud:1", "state:1"
+	for _, p := range nodeNames {
+		if p != name {
+			cfg.Peers = append(cfg.Peers, config.Peer{Node: p})
+		}
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	rt := c.net.From(ctx, name)
+	n, err := newNode(cfg, c.log.With("on", name), links{state: rt, cloud: rt, workers: rt,
+		peer: func(p config.Peer) (grpc.ClientConnInterface, error) { return &peerConn{c, name, p.Node}, nil }})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.start(ctx)
+	c.mu.Lock()
+	c.nodes[name], c.stops[name] = n, cancel
+	c.mu.Unlock()
+	c.net.Listen(name, cfg.APIAddr, n.api)
+}
+
+// kill ends a node without a word; what it has sent may still arrive.
+func (c *cluster) kill(name string) {
+	c.net.Listen(name, fmt.Sprintf("10.0.0.%d:80", slices.Index(nodeNames, name)+1), nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stops[name]()
+	delete(c.nodes, name)
+}
+
+func (c *cluster) leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, n := range c.nodes {
+		if n.Leading() != nil {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *cluster) cut(a, b string, mode standin.Cut) func() {
+	mend := sync.OnceFunc(c.net.Cut(a, b, mode))
+	c.mends = append(c.mends, mend)
+	return mend
+}
+
+// isolate cuts a host off from all the others given.
+func (c *cluster) isolate(a string, mode standin.Cut, others ...string) func() {
+	var mends []func()
+	for _, b := range others {
+		mends = append(mends, c.cut(a, b, mode))
+	}
+	return func() {
+		for _, m := range mends {
+			m()
+		}
+	}
+}
+
+// peerConn carries gRPC calls between the nodes through the stand-in network.
+type peerConn struct {
+	c        *cluster
+	from, to string
+}
+
+func (p *peerConn) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
+	raw, err := wire.Marshal(args)
+	if err != nil {
+		return err
+	}
+	var out []byte
+	err = p.c.net.Call(ctx, p.from, p.to, func() {
+		p.c.mu.Lock()
+		n := p.c.nodes[p.to]
+		p.c.mu.Unlock()
+		for _, m := range peer.Service.Methods {
+			if n != nil && strings.HasSuffix(method, "/"+m.MethodName) {
+				if v, err := m.Handler(n, context.Background(), func(in any) error { return wire.Unmarshal(raw, in) }, nil); err == nil {
+					out, _ = wire.Marshal(v)
+				}
+			}
+		}
+	})
+	if err != nil || out == nil {
+		return status.Error(codes.Unavailable, "no answer")
+	}
+	return wire.Unmarshal(out, reply)
+}
+
+func (p *peerConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, status.Error(codes.Unimplemented, "no streams")
+}
+
+func sweep(n int, ref string, tasks int) wire.Job {
+	return wire.Job{ID: fmt.Sprintf("req-%06d", n), Class: ref, Team: "red", Shape: wire.Array, Rank: wire.Standard, Tasks: tasks,
+		Cores: 2, MemGB: 4, Image: "img-1", ImageGB: 1, Spot: true, EstimateS: 20}
+}
+
+func standing(n, tasks int) wire.Job {
+	j := sweep(n, "front", tasks)
+	j.Shape, j.Rank, j.Spread, j.Spot, j.EstimateS, j.Cores = wire.Service, wire.Production, true, false, 0, 1
+	return j
+}
+
+func gang(n, tasks int) wire.Job {
+	j := sweep(n, "train", tasks)
+	j.Shape, j.Rank, j.OneZone, j.Cards, j.Cores, j.CheckpointS, j.SaveS = wire.Gang, wire.High, true, 2, 4, 10, 2
+	return j
+}
+
+func (c *cluster) submit(j wire.Job, runS float64) {
+	c.t.Helper()
+	if st := c.w.Submit(j, runS); st != 200 && st != 201 {
+		c.t.Fatalf("%s: submission got %d", j.ID, st)
+	}
+	c.jobs = append(c.jobs, j.ID)
+}
+
+// until waits for a condition.
+func (c *cluster) until(what string, limit time.Duration, cond func() bool) {
+	c.t.Helper()
+	for start := time.Now(); !cond(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(start) > limit {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (c *cluster) phase(ref string) string {
+	_, st := c.w.Poll(ref)
+	return st.Phase
+}
+
+func (c *cluster) untilDone(limit time.Duration, refs ...string) {
+	c.t.Helper()
+	for _, ref := range refs {
+		c.until(ref+" is done", limit, func() bool { time.Sleep(time.Second); return c.phase(ref) == wire.PhaseDone })
+	}
+}
+
+func TestQuietDay(t *testing.T) {
+	run(t, 1, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.submit(sweep(2, "check", 30), 15)
+		c.submit(gang(3, 3), 30)
+		c.submit(sweep(4, "check", 1), 5)
+		c.untilDone(6*time.Minute, c.jobs[1:]...)
+		c.until("replicas run in both zones", time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 })
+		if st, s := c.w.Withdraw("req-000002"); st != 200 || s.Phase != wire.PhaseDone {
+			t.Errorf("withdrawing a finished job: %d %q", st, s.Phase)
+		}
+		if st := c.w.Submit(sweep(2, "check", 30), 15); st != 200 {
+			t.Errorf("late repeat of a finished job: %d", st)
+		}
+		if st, _ := c.w.Poll("req-999999"); st != 404 {
+			t.Errorf("unknown job: %d", st)
+		}
+		c.w.Withdraw("req-000001")
+		c.until("idle machines go back and records are cleared", 4*time.Minute, func() bool {
+			return len(c.w.Machines()) == 0 && len(c.w.State.Keys("o/")) == 0
+		})
+		if n := len(c.w.State.Keys("d/")); n != 4 {
+			t.Errorf("%d final records of 4", n)
+		}
+	})
+}
+
+// A leader that dies between recording placements and learning how their
+// starts went must not lead to a second copy.
+func TestTakeoverDuringPlacement(t *testing.T) {
+	for seed := range uint64(3) {
+		run(t, 10+seed, func(c *cluster) {
+			var once sync.Once
+			placed := make(chan struct{})
+			c.w.State.OnCommit = func(txn *wire.Commit) {
+				for _, ch := range txn.Changes {
+					if strings.HasSuffix(ch.Set, "/t") {
+						once.Do(func() { close(placed) })
+					}
+				}
+			}
+			c.submit(sweep(1, "check", 12), 40)
+			<-placed
+			time.Sleep(time.Duration(seed) * 4 * time.Millisecond)
+			old := c.leader()
+			c.kill(old)
+			c.until("another leads", 15*time.Second, func() bool { return c.leader() != "" })
+			c.boot(old)
+			c.untilDone(5*time.Minute, "req-000001")
+		})
+	}
+}
+
+// Direct commands held by the network and delivered when the leader has long
+// changed its mind must be refused by the worker.
+func TestLateCommands(t *testing.T) {
+	run(t, 20, func(c *cluster) {
+		c.submit(sweep(1, "warm", 1), 5)
+		c.untilDone(2*time.Minute, "req-000001")
+		leader := c.leader()
+		m := c.w.Machines()[0]
+		mend := c.cut(leader, m, standin.Hold)
+		c.submit(sweep(2, "check", 12), 25)
+		time.Sleep(9 * time.Second) // the machine is reported silent, not lost
+		c.w.Withdraw("req-000002")
+		c.submit(sweep(3, "check", 12), 25)
+		time.Sleep(time.Second)
+		mend()
+		c.untilDone(4*time.Minute, "req-000003")
+		time.Sleep(time.Minute)
+	})
+}
+
+// A job cancelled while nobody leads has no event that tells the next leader:
+// the record alone must stop its tasks. (Found on the users' bench.)
+func TestCancelledWhileNobodyLeads(t *testing.T) {
+	run(t, 30, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.until("it runs", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 })
+		c.kill(c.leader())
+		if st, s := c.w.Withdraw("req-000001"); st != 200 || s.Phase != wire.PhaseCancelled {
+			t.Fatalf("withdraw: %d %q", st, s.Phase)
+		}
+		if c.leader() != "" {
+			t.Skip("a leader was there already")
+		}
+		time.Sleep(time.Minute)
+		if on := c.w.On("req-000001"); len(on) > 0 {
+			t.Errorf("still on %v", on)
+		}
+	})
+}
+
+// Submissions and withdrawals delayed beyond their answers are settled by the
+// guards of their commits, not guessed.
+func TestLateSubmitAndWithdraw(t *testing.T) {
+	run(t, 40, func(c *cluster) {
+		other := nodeNames[(slices.Index(nodeNames, c.leader())+1)%3]
+		mend := c.cut(other, "state", standin.Hold)
+		for i := range 6 { // some reach the node that is cut off
+			c.submit(sweep(1+i, "check", 2), 10)
+		}
+		c.w.Withdraw("req-000001")
+		c.untilDone(3*time.Minute, "req-000002", "req-000003")
+		mend() // held commits arrive now
+		time.Sleep(5 * time.Second)
+		if p := c.phase("req-000001"); p != wire.PhaseCancelled {
+			t.Errorf("cancelled job is %s", p)
+		}
+		c.untilDone(3*time.Minute, c.jobs[1:]...)
+	})
+}
+
+// The state service refuses the leader alone: another takes over, and the old
+// one stops answering reports in time.
+func TestStateRefusesLeader(t *testing.T) {
+	run(t, 50, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.submit(sweep(2, "check", 20), 20)
+		c.until("it runs", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 && len(c.w.On("req-000002")) > 0 })
+		old := c.leader()
+		c.w.State.Refuse(old, true)
+		// Its peers cannot warn it, and the workers stay with it.
+		mend := c.isolate(old, standin.Hold, slices.DeleteFunc(slices.Clone(nodeNames), func(n string) bool { return n == old })...)
+		c.until("another leads", 20*time.Second, func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for name, n := range c.nodes {
+				if name != old && n.Leading() != nil {
+					return true
+				}
+			}
+			return false
+		})
+		c.w.Withdraw("req-000001")
+		time.Sleep(50 * time.Second)
+		if on := c.w.On("req-000001"); len(on) > 0 {
+			t.Errorf("cancelled, still on %v", on)
+		}
+		c.w.State.Refuse(old, false)
+		mend()
+		c.untilDone(4*time.Minute, "req-000002")
+	})
+}
+
+// In a full outage the leader keeps leases alive, and loses nothing.
+func TestStateOutage(t *testing.T) {
+	run(t, 60, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.submit(sweep(2, "check", 6), 60)
+		c.until("all run", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 && len(c.w.On("req-000002")) > 2 })
+		before := c.w.On("req-000001")
+		c.w.State.Refuse("", true)
+		time.Sleep(60 * time.Second) // much longer than cancel_s - lease_s
+		if on := c.w.On("req-000001"); !slices.Equal(on, before) {
+			t.Errorf("replicas were on %v, now on %v", before, on)
+		}
+		c.w.State.Refuse("", false)
+		c.untilDone(3*time.Minute, "req-000002")
+	})
+}
+
+func TestAllControllersKilled(t *testing.T) {
+	run(t, 70, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.submit(sweep(2, "check", 20), 30)
+		c.submit(gang(3, 2), 60)
+		c.until("they run", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 && len(c.w.On("req-000003")) > 0 })
+		before := c.w.On("req-000001")
+		for _, n := range nodeNames {
+			c.kill(n)
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range nodeNames {
+			c.boot(n)
+		}
+		c.untilDone(5*time.Minute, "req-000002", "req-000003")
+		if on := c.w.On("req-000001"); !slices.Equal(on, before) {
+			t.Errorf("replicas were on %v, now on %v", before, on)
+		}
+	})
+}
+
+// A machine that is cut off while its job is cancelled loses its tasks by its
+// lease; one that hangs may go on within it.
+func TestCutAndHangDuringCancellation(t *testing.T) {
+	run(t, 80, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.until("it runs", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 })
+		on := c.w.On("req-000001")
+		mend := c.isolate(on[0], standin.Hold, nodeNames...)
+		resume := c.w.Hang(on[1])
+		c.w.Withdraw("req-000001")
+		time.Sleep(8 * time.Second)
+		resume()
+		time.Sleep(20 * time.Second)
+		mend()
+		time.Sleep(30 * time.Second)
+		if on := c.w.On("req-000001"); len(on) > 0 {
+			t.Errorf("still on %v", on)
+		}
+	})
+}
+
+// A gang that loses a member stops whole and starts whole, and one on a machine
+// with a notice is stopped in order.
+func TestGangStopAndRestart(t *testing.T) {
+	run(t, 90, func(c *cluster) {
+		c.submit(gang(1, 3), 60)
+		running := func() bool { _, st := c.w.Poll("req-000001"); return st.Running == 3 && len(c.w.On("req-000001")) >= 2 }
+		c.until("it runs", 3*time.Minute, running)
+		time.Sleep(15 * time.Second)
+		c.w.Kill(c.w.On("req-000001")[0])
+		time.Sleep(30 * time.Second)
+		c.until("it runs again", 3*time.Minute, running)
+		c.w.Notice(c.w.On("req-000001")[0], 15*time.Second)
+		c.untilDone(5*time.Minute, "req-000001")
+	})
+}
+
+// A rental whose answer is lost is asked for again under the same claim, also
+// by the next leader, and rents once.
+func TestRentalOutcomeUnknown(t *testing.T) {
+	run(t, 100, func(c *cluster) {
+		lost := 0
+		c.w.LoseReply = func(path string) bool {
+			if path == "/rentals" && c.w.Calls[path] < 40 && lost < 25 {
+				lost++
+				return true
+			}
+			return false
+		}
+		c.submit(sweep(1, "check", 4), 20)
+		time.Sleep(8 * time.Second)
+		old := c.leader()
+		c.kill(old)
+		time.Sleep(5 * time.Second)
+		c.boot(old)
+		c.untilDone(4*time.Minute, "req-000001")
+		if n := c.w.Rented(); n > 2 {
+			t.Errorf("%d machines were rented for 4 tasks of half a machine", n)
+		}
+	})
+}
+
+// Two leaders, one of them late: the old one is cut off from everything but
+// its machines' zone, as a zone that is cut off keeps working inside.
+func TestCutOffZone(t *testing.T) {
+	run(t, 110, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		c.submit(sweep(2, "check", 16), 30)
+		c.until("they run", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 && len(c.w.On("req-000002")) > 0 })
+		old := c.leader()
+		inside := c.w.On("req-000001")[0]
+		var mends []func()
+		for _, n := range nodeNames {
+			if n != old {
+				mends = append(mends, c.cut(old, n, standin.Hold), c.cut(inside, n, standin.Hold))
+			}
+		}
+		mends = append(mends, c.isolate(old, standin.Hold, "state", "cloud", "users"))
+		time.Sleep(10 * time.Second)
+		c.w.Withdraw("req-000001")
+		c.submit(standing(3, 2), 0)
+		time.Sleep(45 * time.Second)
+		for _, mend := range mends {
+			mend()
+		}
+		c.untilDone(4*time.Minute, "req-000002")
+		c.until("the new service runs", time.Minute, func() bool { return len(c.w.On("req-000003")) == 2 })
+	})
+}
+
+// Chaos: failures at random, several at once, with repeated commands.
+func TestChaos(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			run(t, 1000+seed, func(c *cluster) { chaos(c, seed) })
+		})
+	}
+}
