Test decisions against a slow plain model, and units by themselves

The model found that work started in a plan was not seen by what follows in it, and that a stopped task could take its room again when it comes earlier in the order. Both are mended in sched.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"node":"n-0","domain":"a","api_addr":"10.0.0.1:80","peer_bind":"10.0.0.1:81","unheard_of":1,
+"peers":[{"node":"n-1","domain":"a","address":"10.0.0.2:81"}],"services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+"deployment":{"count":2,"zones":["a"],"teams":[{"name":"t","cpus":1}],
+"workers":{"report_s":3,"lease_s":12,"gang_wait_s":35,"gang_peer_s":4,"cancel_s":37},
+"state":{"rps":250,"write_rps":25,"value_kb":32,"txn_ops":20},"cloud":{"rps":4,"list_lag_s":10},
+"limits":{"cpu_share":0.1,"memory_mb":180,"sockets":1800},"clock_error_ms":25}}`
+
+func TestLoad(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		p := filepath.Join(dir, name)
+		if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	c, err := Load(file("good.json", good), file("op.toml", "rho = 1.5\nestimator = \"user\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Operator.Rho != 1.5 || c.Operator.GiveBackFactor != DefaultOperator().GiveBackFactor || c.Team("t") == nil {
+		t.Errorf("read as %+v", c)
+	}
+	bad := []struct{ json, toml, names string }{
+		{"{", "", "bad.json"},
+		{strings.Replace(good, `"lease_s":12`, `"lease_s":"x"`, 1), "", "lease_s"},
+		{strings.Replace(good, `"lease_s":12`, `"lease_s":40`, 1), "", "cancel_s"},
+		{strings.Replace(good, `"report_s":3,`, ``, 1), "", "report_s"},
+		{strings.Replace(good, `10.0.0.1:80`, `nowhere`, 1), "", "api_addr"},
+		{strings.Replace(good, `"n-1"`, `"n-0"`, 1), "", "peers[0].node"},
+		{strings.Replace(good, `"cpus":1`, `"cpus":-1`, 1), "", "teams[0]"},
+		{good, "rho = -1", "rho"},
+		{good, "estimator = \"guess\"", "estimator"},
+		{good, "cloud_call_share = 2.0", "cloud_call_share"},
+		{good, "unheard_of = 1", "unheard_of"},
+		{good, "rho = ", "bad.toml"},
+	}
+	for _, b := range bad {
+		op := ""
+		if b.toml != "" {
+			op = file("bad.toml", b.toml)
+		}
+		_, err := Load(file("bad.json", b.json), op)
+		if err == nil || !strings.Contains(err.Error(), b.names) || strings.Contains(strings.TrimSpace(err.Error()), "\n") {
+			t.Errorf("expected one line naming %s, got %v", b.names, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+func parse(s string) (Key, bool) {
+	ref, num, ok := strings.Cut(s, "/")
+	n, _ := strconv.Atoi(num)
+	return Key{ref, n}, ok
+}
+
+const base = uint64(3) << tuning.BatonShift
+
+func report(session, seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: "m-1", Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+// start makes a machine with one placement whose start is under way.
+func start(t *testing.T) (*Machine, *Placement, time.Time) {
+	now := time.Now()
+	m := New("m-1", base, now, now.Add(time.Hour))
+	m.Observe(report(1, 1, base), parse, now)
+	p := &Placement{Key: Key{"req-1", 0}, Attempt: 1, Session: 1, Machine: m, Recorded: true}
+	m.Live[p.Key] = p
+	m.InFlight = true
+	m.Start(p)
+	return m, p, now
+}
+
+// A placement is released on proof only; each step lacks it but the last.
+func TestRelease(t *testing.T) {
+	m, p, now := start(t)
+	expect := func(what string, r *wire.Report, over bool) {
+		t.Helper()
+		ended, _ := m.Observe(r, parse, now)
+		if (len(ended) == 1) != over {
+			t.Errorf("%s: ended %v", what, ended)
+		}
+	}
+	expect("absent while the command is under way", report(1, 2, base), false)
+	m.Answered(true, false)
+	if m.Usable(now, time.Minute) {
+		t.Error("usable while an outcome is unknown")
+	}
+	expect("absent, but the start may run late", report(1, 3, base), false)
+	expect("an older report", report(1, 2, base+1), false)
+	expect("running", report(1, 4, base, wire.TaskReport{Task: "req-1/0", Attempt: 1, State: wire.TaskRunning}), false)
+	if p.State != wire.TaskRunning {
+		t.Error("state not taken in")
+	}
+	expect("another attempt of it", report(1, 5, base, wire.TaskReport{Task: "req-1/0", Attempt: 2, State: wire.TaskRunning}), false)
+	if m.Alien != 1 {
+		t.Error("what is not in the records was not seen")
+	}
+	expect("absent after the higher token was shown", report(1, 6, base+1), true)
+	if !m.Usable(now, time.Minute) {
+		t.Error("not usable after the outcome is settled")
+	}
+}
+
+// An attempt is not reaped while a copy of its start could run it again.
+func TestReap(t *testing.T) {
+	m, p, now := start(t)
+	m.Answered(true, true)
+	done := wire.TaskReport{Task: "req-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}
+	ended, _ := m.Observe(report(1, 2, base, done), parse, now)
+	if len(ended) != 1 || ended[0].Cause != wire.CauseDone {
+		t.Fatalf("ended %v", ended)
+	}
+	m.Drop(p, now)
+	if m.MayReap(p.Key, 1) {
+		t.Error("reaped while a copy of the start would be executed")
+	}
+	m.Observe(report(1, 3, base+1, done), parse, now)
+	if !m.MayReap(p.Key, 1) {
+		t.Error("not reaped although copies are refused")
+	}
+}
+
+func TestNewSessionAndLapse(t *testing.T) {
+	m, p, now := start(t)
+	if ended := m.Lapse(now); len(ended) > 0 {
+		t.Error("lapsed before the lease is over")
+	}
+	if ended, _ := m.Observe(report(2, 2, base), parse, now); len(ended) != 1 {
+		t.Error("a new tenure did not release")
+	}
+	m, p, now = start(t)
+	after := m.LeaseEnd.Add(time.Millisecond)
+	if ended := m.Lapse(after); len(ended) != 1 || ended[0].Placement != p {
+		t.Error("a lease that is over did not release")
+	}
+	m.Answered(true, true)
+	if _, fresh := m.Observe(report(1, 9, base), parse, after); fresh || m.Usable(after, time.Minute) {
+		t.Error("a report of a session that is over was taken in")
+	}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -238,7 +238,7 @@
 	return 1
 }
 
-// CardsOnly tells for a job whether it must keep off machines with cards: work
+// cardless tells for a job whether it must keep off machines with cards: work
 // without need of cards would keep dear machines from the work that needs them.
 func cardless(s *Snapshot, j *Job) bool {
 	if j.Need.Cards > 0 {
@@ -283,8 +283,11 @@
 type planner struct {
 	s    *Snapshot
 	plan Plan
-	// coming rooms: booting machines and what this plan rents
+	// pool is the machines with what this plan puts on them, and what it rents.
 	pool []Machine
+	// place in the order of each job: what comes before is never stopped.
+	pos       []int
+	cardWaits bool // work with cards waits
 }
 
 // Decide makes the plan.
@@ -294,7 +297,14 @@
 	var ahead, aheadCards float64
 	heldCores, heldCards := held(s)
 	teams := slices.Clone(s.Teams)
-	for _, ji := range Order(s) {
+	order := Order(s)
+	p.pos = make([]int, len(s.Jobs))
+	for i, ji := range order {
+		j := &s.Jobs[ji]
+		p.pos[ji] = i
+		p.cardWaits = p.cardWaits || (j.Need.Cards > 0 && j.Waiting > 0 && !j.Resting)
+	}
+	for _, ji := range order {
 		j := &s.Jobs[ji]
 		n := j.Waiting
 		if n == 0 || j.Resting {
@@ -408,7 +418,7 @@
 			if r := p.s.CardNeed; r.Cards > 0 && m.Free.Slots(r) > 0 {
 				return m.Free.Sub(r, 1).Slots(j.Need)
 			}
-		case p.s.CardRank < 0 || j.Rank <= p.s.CardRank || j.Desc.Shape == wire.Gang ||
+		case p.cardWaits || p.s.CardRank < 0 || j.Rank <= p.s.CardRank || j.Desc.Shape == wire.Gang ||
 			m.CardIdleS >= p.s.GiveBack*t.BootS:
 			return 0
 		}
@@ -503,6 +513,7 @@
 		m.Free = m.Free.Sub(j.Need, st.Count)
 		zones[m.Zone] += st.Count
 		if !coming {
+			m.Tasks = append(slices.Clip(m.Tasks), Running{Job: ji, Count: st.Count})
 			p.plan.Starts = append(p.plan.Starts, st)
 		}
 	}
@@ -539,6 +550,9 @@
 				if free.Slots(j.Need) > 0 || v.Rank <= j.Rank {
 					break
 				}
+				if p.pos[r.Job] < p.pos[ji] {
+					continue // it would take the room again at once
+				}
 				if v.Desc.Shape == wire.Gang && v.Desc.Tasks > 1 {
 					continue
 				}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,286 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"marblehaven/internal/wire"
+)
+
+var zones = []string{"a", "b"}
+
+// random makes a snapshot. With busy, machines carry tasks that could be
+// stopped.
+func random(rng *rand.Rand, busy bool) *Snapshot {
+	s := &Snapshot{Rho: 1, GiveBack: 1, MayRent: true, MayReturn: true, CardRank: -1, Refused: map[Offer]bool{},
+		Types: []Type{
+			{Name: "small", Total: Res{4, 0, 16}, Price: 0.2, SpotPrice: 0.06, BootS: 30, FetchGBps: 1, Zones: zones},
+			{Name: "big", Total: Res{16, 0, 64}, Price: 1, SpotPrice: 0.3, BootS: 40, FetchGBps: 1, Zones: zones},
+			{Name: "card", Total: Res{32, 4, 128}, Price: 9, SpotPrice: 3, BootS: 35, FetchGBps: 1, Zones: zones[:1]},
+		},
+		Teams: []Team{{Max: Res{Cores: 30, Cards: 8}}, {}},
+	}
+	shapes := []string{wire.Array, wire.Array, wire.Gang, wire.Service}
+	for i := range 1 + rng.IntN(6) {
+		d := &wire.Job{ID: fmt.Sprint(i), Shape: shapes[rng.IntN(4)], Tasks: 1 + rng.IntN(9), Cores: float64(1 + rng.IntN(4)),
+			MemGB: float64(1 + rng.IntN(16)), OneZone: rng.IntN(4) == 0, Spread: rng.IntN(4) == 0, Spot: rng.IntN(2) == 0,
+			Image: fmt.Sprint("img", rng.IntN(2)), ImageGB: 2}
+		if rng.IntN(4) == 0 {
+			d.Cards = float64(1 + rng.IntN(4))
+		}
+		if rng.IntN(5) == 0 {
+			d.Types = []string{"big", "card"}
+		}
+		if rng.IntN(5) == 0 {
+			d.Zone = zones[rng.IntN(2)]
+		}
+		j := Job{Ref: d.ID, Desc: d, Need: Need(d), Rank: rng.IntN(4), Guaranteed: rng.IntN(2) == 0, EstimateS: float64(rng.IntN(60)),
+			DueS: float64(rng.IntN(400) - 100), Waiting: rng.IntN(d.Tasks + 1), Team: rng.IntN(2), ZoneLive: map[string]int{}, Resting: rng.IntN(8) == 0}
+		if d.Shape == wire.Gang && j.Waiting > 0 {
+			j.Waiting = d.Tasks
+		}
+		s.Jobs = append(s.Jobs, j)
+		if d.Cards > 0 {
+			s.CardRank = max(s.CardRank, j.Rank)
+			s.CardNeed = Res{max(s.CardNeed.Cores, d.Cores), max(s.CardNeed.Cards, d.Cards), max(s.CardNeed.Mem, d.MemGB)}
+		}
+	}
+	for i := range rng.IntN(9) {
+		m := Machine{ID: fmt.Sprint("m", i), Type: rng.IntN(3), Zone: zones[rng.IntN(2)], Spot: rng.IntN(3) == 0,
+			IdleS: float64(rng.IntN(90)), CardIdleS: float64(rng.IntN(90)), HasImage: map[string]bool{"img0": rng.IntN(2) == 0}}
+		m.Free = s.Types[m.Type].Total
+		m.Ready = rng.IntN(4) > 0
+		m.Coming = !m.Ready && rng.IntN(2) == 0
+		for ji := range s.Jobs {
+			j := &s.Jobs[ji]
+			if busy && m.Ready && rng.IntN(2) == 0 && m.Free.Slots(j.Need) > 0 && len(j.Desc.Types) == 0 && j.Desc.Shape != wire.Gang {
+				m.Free = m.Free.Sub(j.Need, 1)
+				m.Tasks = append(m.Tasks, Running{Job: ji, Count: 1})
+				j.ZoneLive[m.Zone]++
+				j.Live++
+				s.Teams[j.Team].Used = s.Teams[j.Team].Used.Sub(j.Need, -1)
+			}
+		}
+		m.Empty = len(m.Tasks) == 0
+		s.Machines = append(s.Machines, m)
+	}
+	return s
+}
+
+// plain places one task after another, each where it costs least, by looking at
+// everything anew each time.
+func plain(s *Snapshot) map[string]int {
+	out := map[string]int{}
+	free := make([]Res, len(s.Machines))
+	cardTask := make([]bool, len(s.Machines))
+	for i := range s.Machines {
+		free[i] = s.Machines[i].Free
+	}
+	used := slices.Clone(s.Teams)
+	cardWaits := false
+	for _, j := range s.Jobs {
+		cardWaits = cardWaits || (j.Need.Cards > 0 && j.Waiting > 0 && !j.Resting)
+	}
+	for _, ji := range Order(s) {
+		j := &s.Jobs[ji]
+		d := j.Desc
+		if j.Resting || j.Waiting == 0 {
+			continue
+		}
+		team := &used[j.Team]
+		limit := 0
+		for u := team.Used; limit < j.Waiting; limit++ {
+			u = u.Sub(j.Need, -1)
+			if (team.Max.Cores > 0 && u.Cores > team.Max.Cores) || (team.Max.Cards > 0 && u.Cards > team.Max.Cards) {
+				break
+			}
+		}
+		attempt := func(only string) []int {
+			f, z := slices.Clone(free), map[string]int{}
+			for k, v := range j.ZoneLive {
+				z[k] = v
+			}
+			var at []int
+			for len(at) < limit {
+				best, bestCost := -1, 0.0
+				for i, m := range s.Machines {
+					t := s.Types[m.Type]
+					fits := f[i].Cores >= j.Need.Cores && f[i].Cards >= j.Need.Cards && f[i].Mem >= j.Need.Mem
+					place := (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && (d.Zone == "" || d.Zone == m.Zone) &&
+						(only == "" || only == m.Zone) && (!m.Spot || d.Spot) && (!d.Spread || z[m.Zone] < (d.Tasks+1)/2)
+					if t.Total.Cards > 0 && d.Cards == 0 && plainFits(s, d) {
+						switch {
+						case d.Shape == wire.Service:
+							place = false
+						case cardTask[i]:
+							r := s.CardNeed
+							if f[i].Cores >= r.Cores && f[i].Cards >= r.Cards && f[i].Mem >= r.Mem {
+								fits = f[i].Cores-r.Cores >= j.Need.Cores && f[i].Mem-r.Mem >= j.Need.Mem
+							}
+						default:
+							place = place && !cardWaits && s.CardRank >= 0 && j.Rank > s.CardRank && d.Shape != wire.Gang && m.CardIdleS < s.GiveBack*t.BootS
+						}
+					}
+					if !m.Ready || !fits || !place {
+						continue
+					}
+					est := j.EstimateS
+					if !m.HasImage[d.Image] {
+						est += d.ImageGB / t.FetchGBps
+					}
+					cost := t.PriceOf(m.Spot) / float64(t.Total.Slots(j.Need)) * max(est, 1)
+					if best < 0 || cost < bestCost-1e-9 || (cost < bestCost+1e-9 && f[i].Cores < f[best].Cores) {
+						best, bestCost = i, cost
+					}
+				}
+				if best < 0 {
+					break
+				}
+				f[best] = f[best].Sub(j.Need, 1)
+				z[s.Machines[best].Zone]++
+				at = append(at, best)
+			}
+			return at
+		}
+		at := attempt("")
+		if d.OneZone {
+			// The zone that takes the most; of equal ones that of the cheapest.
+			prefer := slices.Clone(zones)
+			if len(at) > 0 && s.Machines[at[0]].Zone == zones[1] {
+				slices.Reverse(prefer)
+			}
+			at = nil
+			for _, zone := range prefer {
+				if a := attempt(zone); len(a) > len(at) {
+					at = a
+				}
+			}
+		}
+		if d.Shape == wire.Gang && len(at) < j.Waiting {
+			continue
+		}
+		for _, i := range at {
+			free[i] = free[i].Sub(j.Need, 1)
+			cardTask[i] = cardTask[i] || d.Cards > 0
+			team.Used = team.Used.Sub(j.Need, -1)
+			out[j.Ref+"@"+s.Machines[i].ID]++
+		}
+	}
+	return out
+}
+
+func plainFits(s *Snapshot, d *wire.Job) bool {
+	for _, t := range s.Types {
+		if t.Total.Cards == 0 && d.Cores <= t.Total.Cores && d.MemGB <= t.Total.Mem && (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Deciding like tasks as a class must place as many as one by one, and at the
+// same cost.
+func TestStartsAgainstPlainModel(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	placed := 0
+	for i := range 4000 {
+		s := random(rng, false)
+		got := map[string]int{}
+		for _, st := range Decide(s).Starts {
+			got[s.Jobs[st.Job].Ref+"@"+s.Machines[st.Machine].ID] += st.Count
+			placed += st.Count
+		}
+		if d := cmp.Diff(plain(s), got); d != "" {
+			t.Fatalf("snapshot %d: %s", i, d)
+		}
+	}
+	if placed < 4000 {
+		t.Errorf("only %d tasks were placed: the snapshots test too little", placed)
+	}
+}
+
+// Whatever the snapshot, a plan keeps the rules on places, room and quota, only
+// stops what ranks lower, and only returns what is empty.
+func TestPlanKeepsRules(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	stops, rents := 0, 0
+	for i := range 4000 {
+		s := random(rng, true)
+		p := Decide(s)
+		free := make([]Res, len(s.Machines))
+		for k := range s.Machines {
+			free[k] = s.Machines[k].Free
+		}
+		used := slices.Clone(s.Teams)
+		started := map[int]int{}
+		touched := map[int]bool{}
+		zone := map[int]map[string]int{}
+		for _, st := range p.Starts {
+			j, m := &s.Jobs[st.Job], &s.Machines[st.Machine]
+			if zone[st.Job] == nil {
+				zone[st.Job] = map[string]int{}
+				for z, n := range j.ZoneLive {
+					zone[st.Job][z] = n
+				}
+			}
+			zone[st.Job][m.Zone] += st.Count
+			free[st.Machine] = free[st.Machine].Sub(j.Need, st.Count)
+			used[j.Team].Used = used[j.Team].Used.Sub(j.Need, -st.Count)
+			started[st.Job] += st.Count
+			touched[st.Machine] = true
+			d := j.Desc
+			if !m.Ready || (m.Spot && !d.Spot) || (d.Zone != "" && d.Zone != m.Zone) || (d.Types != nil && !slices.Contains(d.Types, s.Types[m.Type].Name)) {
+				t.Fatalf("snapshot %d: job %d on machine %d", i, st.Job, st.Machine)
+			}
+		}
+		for ji, n := range started {
+			d := s.Jobs[ji].Desc
+			if n > s.Jobs[ji].Waiting || (d.Shape == wire.Gang && n < s.Jobs[ji].Waiting) || s.Jobs[ji].Resting {
+				t.Fatalf("snapshot %d: job %d starts %d", i, ji, n)
+			}
+			for z, n := range zone[ji] {
+				if (d.Spread && n > (d.Tasks+1)/2 && n > s.Jobs[ji].ZoneLive[z]) || (d.OneZone && len(zone[ji]) > 1 && len(s.Jobs[ji].ZoneLive) < 2) {
+					t.Fatalf("snapshot %d: job %d in zones %v", i, ji, zone[ji])
+				}
+			}
+		}
+		for k, f := range free {
+			if f.Cores < -eps || f.Cards < -eps || f.Mem < -eps {
+				t.Fatalf("snapshot %d: machine %d is overfull: %+v", i, k, f)
+			}
+		}
+		for k, u := range used {
+			if u.Max.Cores > 0 && u.Used.Cores > max(u.Max.Cores, s.Teams[k].Used.Cores)+eps || u.Max.Cards > 0 && u.Used.Cards > max(u.Max.Cards, s.Teams[k].Used.Cards)+eps {
+				t.Fatalf("snapshot %d: team %d uses %+v", i, k, u)
+			}
+		}
+		for _, st := range p.Stops {
+			stops++
+			below := false
+			for ji := range s.Jobs {
+				below = below || (s.Jobs[ji].Waiting > 0 && s.Jobs[ji].Rank < s.Jobs[st.Job].Rank)
+			}
+			if !below {
+				t.Fatalf("snapshot %d: job %d is stopped for nothing above it", i, st.Job)
+			}
+		}
+		for _, r := range p.Rents {
+			rents++
+			if r.Count < 1 || !slices.Contains(s.Types[r.Type].Zones, r.Zone) {
+				t.Fatalf("snapshot %d: rents %+v", i, r)
+			}
+		}
+		for _, k := range p.Returns {
+			if !s.Machines[k].Empty || touched[k] {
+				t.Fatalf("snapshot %d: returns machine %d in use", i, k)
+			}
+		}
+	}
+	if stops == 0 || rents == 0 {
+		t.Errorf("%d stops and %d rents: the snapshots test too little", stops, rents)
+	}
+}
