--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -361,6 +361,7 @@
 	}
 	j := newJob(ref, &o, ver, now)
 	c.jobs[ref] = j
+	c.Log.Debug("job known", "job", ref, "class", o.Job.Class, "tasks", o.Job.Tasks, "age", now.Sub(j.at))
 	if n := j.need(); n.Cards > 0 {
 		c.cardRank = max(c.cardRank, j.rank())
 		c.cardNeed = sched.Res{Cores: max(c.cardNeed.Cores, n.Cores), Cards: max(c.cardNeed.Cards, n.Cards), Mem: max(c.cardNeed.Mem, n.Mem)}
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -143,8 +143,10 @@
 		c.Log.Info("making room", "machine", m.ID, "job", j.ref)
 		for _, p := range m.Live {
 			if p.Job == j.ref {
+				// Player-facing work does not wait for a save; what is lost
+				// is no more than the time since the last checkpoint.
 				grace := 0.0
-				if j.desc.CheckpointS > 0 {
+				if j.desc.CheckpointS > 0 && !st.Now {
 					grace = j.desc.SaveS + tuning.SaveMargin
 				}
 				c.stop(p, grace, now)
@@ -279,6 +281,13 @@
 			}
 			r.Count++
 			r.Stopping = r.Stopping && p.Stopping
+			if p.State == wire.TaskRunning {
+				lost := now.Sub(p.Since).Seconds()
+				if cp := s.Jobs[ji].Desc.CheckpointS; cp > 0 {
+					lost = min(lost, cp)
+				}
+				r.LostS += lost
+			}
 		}
 		for _, r := range per {
 			sm.Tasks = append(sm.Tasks, *r)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -54,6 +54,7 @@
 	Job      int // index in Snapshot.Jobs
 	Count    int
 	Stopping bool
+	LostS    float64 // seconds of work that stopping them at once would lose
 }
 
 // Machine is a machine as seen at the snapshot.
@@ -127,8 +128,11 @@
 	Count int
 }
 
-// Stop makes room: all tasks of Job on Machine are stopped.
-type Stop struct{ Machine, Job int }
+// Stop makes room: all tasks of Job on Machine are stopped, at once with Now.
+type Stop struct {
+	Machine, Job int
+	Now          bool
+}
 
 // Plan is what to do.
 type Plan struct {
@@ -521,7 +525,7 @@
 }
 
 // makeRoom stops the work of lower rank on the machine where the least of it
-// has to go. What is already stopping counts as room to come. It returns for
+// is lost. What is already stopping counts as room to come. It returns for
 // how many tasks there will be room.
 func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff bool) int {
 	j := &p.s.Jobs[ji]
@@ -543,7 +547,7 @@
 			var st []Stop
 			tasks := slices.Clone(m.Tasks)
 			slices.SortStableFunc(tasks, func(a, b Running) int {
-				return cmp.Compare(p.s.Jobs[b.Job].Rank, p.s.Jobs[a.Job].Rank)
+				return cmp.Or(cmp.Compare(p.s.Jobs[b.Job].Rank, p.s.Jobs[a.Job].Rank), cmp.Compare(a.LostS, b.LostS))
 			})
 			for _, r := range tasks {
 				v := &p.s.Jobs[r.Job]
@@ -558,8 +562,8 @@
 				}
 				free = free.Sub(v.Need, -r.Count)
 				if !r.Stopping {
-					cost += float64(r.Count) * v.Need.Cores / float64(v.Rank)
-					st = append(st, Stop{i, r.Job})
+					cost += r.LostS * v.Need.Cores
+					st = append(st, Stop{i, r.Job, j.Rank == 0})
 				}
 			}
 			if free.Slots(j.Need) > 0 && cost < bestCost {
