Place production where its image is, stopping lower work there

Cause: the late starts of services were image fetches of 2 to 10 s on free machines while others had the image.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -324,8 +324,16 @@
 		for z, c := range j.ZoneLive {
 			zones[z] = c
 		}
+		// Player-facing work goes where its image is, even if lower work has
+		// to be stopped there: a fetch takes longer than it may wait.
+		if j.Rank == 0 && j.Desc.Shape == wire.Service {
+			got := p.place(ji, n, zones, keepOff, gang, cached)
+			n -= p.makeRoom(ji, n-got, zones, keepOff, true)
+			n -= got
+			teams[j.Team].Used = teams[j.Team].Used.Sub(j.Need, -got)
+		}
 		// Held machines first (P1): least price times estimate.
-		got := p.place(ji, n, zones, keepOff, gang, false)
+		got := p.place(ji, n, zones, keepOff, gang, ready)
 		teams[j.Team].Used = teams[j.Team].Used.Sub(j.Need, -got)
 		for _, st := range p.plan.Starts {
 			taken[st.Machine] = true
@@ -348,10 +356,9 @@
 		boot := bootOf(s, j)
 		slack := math.Max(0, j.DueS-s.Rho*(j.EstimateS+math.Min(queue, 1e6))-boot)
 		if j.Rank == 0 || j.Need.Cards > 0 {
-			n -= p.makeRoom(ji, n, zones, keepOff)
+			n -= p.makeRoom(ji, n, zones, keepOff, false)
 		}
-		coming := p.place(ji, n, zones, keepOff, gang, true)
-		n -= coming
+		n -= p.place(ji, n, zones, keepOff, gang, coming)
 		if slack > 0 || n == 0 {
 			continue
 		}
@@ -440,9 +447,19 @@
 	return false
 }
 
-// place puts up to n tasks on ready machines (or, with coming, counts them
-// against machines that boot) and returns how many found room.
-func (p *planner) place(ji, n int, zones map[string]int, keepOff, gang, coming bool) int {
+// On which machines tasks are placed.
+const (
+	ready  = iota
+	cached // ready, and the image is there
+	coming // not up yet: tasks are only counted against their room
+)
+
+// place puts up to n tasks on machines of the kind and returns how many found
+// room.
+func (p *planner) place(ji, n int, zones map[string]int, keepOff, gang bool, kind int) int {
+	if n == 0 {
+		return 0
+	}
 	j := &p.s.Jobs[ji]
 	d := j.Desc
 	type cand struct {
@@ -452,7 +469,7 @@
 	var cands []cand
 	for i := range p.pool {
 		m := &p.pool[i]
-		if (coming && !m.Coming) || (!coming && !m.Ready) || !p.allowed(m, d) {
+		if (kind == coming && !m.Coming) || (kind != coming && !m.Ready) || (kind == cached && !m.HasImage[d.Image]) || !p.allowed(m, d) {
 			continue
 		}
 		room := p.room(m, j, keepOff)
@@ -516,7 +533,7 @@
 		m := &p.pool[st.Machine]
 		m.Free = m.Free.Sub(j.Need, st.Count)
 		zones[m.Zone] += st.Count
-		if !coming {
+		if kind != coming {
 			m.Tasks = append(slices.Clip(m.Tasks), Running{Job: ji, Count: st.Count})
 			p.plan.Starts = append(p.plan.Starts, st)
 		}
@@ -527,7 +544,7 @@
 // makeRoom stops the work of lower rank on the machine where the least of it
 // is lost. What is already stopping counts as room to come. It returns for
 // how many tasks there will be room.
-func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff bool) int {
+func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff, cached bool) int {
 	j := &p.s.Jobs[ji]
 	if j.Desc.Shape == wire.Gang && n > 1 {
 		return 0 // a gang starts whole: room for a part of it is of no use
@@ -540,7 +557,7 @@
 		var stops []Stop
 		for i := range p.s.Machines {
 			m := &p.pool[i]
-			if !m.Ready || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
+			if !m.Ready || (cached && !m.HasImage[j.Desc.Image]) || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
 				continue
 			}
 			free, cost := m.Free, 0.0
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -99,9 +99,13 @@
 				break
 			}
 		}
-		attempt := func(only string) []int {
+		live := map[string]int{}
+		for k, v := range j.ZoneLive {
+			live[k] = v
+		}
+		attempt := func(only string, cached bool) []int {
 			f, z := slices.Clone(free), map[string]int{}
-			for k, v := range j.ZoneLive {
+			for k, v := range live {
 				z[k] = v
 			}
 			var at []int
@@ -125,7 +129,10 @@
 							place = place && !cardWaits && s.CardRank >= 0 && j.Rank > s.CardRank && d.Shape != wire.Gang && m.CardIdleS < s.GiveBack*t.BootS
 						}
 					}
-					if !m.Ready || !fits || !place {
+					if d.OneZone && z[zones[0]]+z[zones[1]] > 0 && z[m.Zone] == 0 {
+						continue
+					}
+					if !m.Ready || !fits || !place || (cached && !m.HasImage[d.Image]) {
 						continue
 					}
 					est := j.EstimateS
@@ -146,28 +153,37 @@
 			}
 			return at
 		}
-		at := attempt("")
-		if d.OneZone {
-			// The zone that takes the most; of equal ones that of the cheapest.
-			prefer := slices.Clone(zones)
-			if len(at) > 0 && s.Machines[at[0]].Zone == zones[1] {
-				slices.Reverse(prefer)
-			}
-			at = nil
-			for _, zone := range prefer {
-				if a := attempt(zone); len(a) > len(at) {
-					at = a
+		// Player-facing services go where their image is, then anywhere.
+		stages := []bool{false}
+		if j.Rank == 0 && d.Shape == wire.Service {
+			stages = []bool{true, false}
+		}
+		for _, cached := range stages {
+			at := attempt("", cached)
+			if d.OneZone {
+				// The zone that takes the most; of equal ones that of the cheapest.
+				prefer := slices.Clone(zones)
+				if len(at) > 0 && s.Machines[at[0]].Zone == zones[1] {
+					slices.Reverse(prefer)
+				}
+				at = nil
+				for _, zone := range prefer {
+					if a := attempt(zone, cached); len(a) > len(at) {
+						at = a
+					}
 				}
 			}
-		}
-		if d.Shape == wire.Gang && len(at) < j.Waiting {
-			continue
-		}
-		for _, i := range at {
-			free[i] = free[i].Sub(j.Need, 1)
-			cardTask[i] = cardTask[i] || d.Cards > 0
-			team.Used = team.Used.Sub(j.Need, -1)
-			out[j.Ref+"@"+s.Machines[i].ID]++
+			if d.Shape == wire.Gang && len(at) < j.Waiting {
+				continue
+			}
+			limit -= len(at)
+			for _, i := range at {
+				free[i] = free[i].Sub(j.Need, 1)
+				live[s.Machines[i].Zone]++
+				cardTask[i] = cardTask[i] || d.Cards > 0
+				team.Used = team.Used.Sub(j.Need, -1)
+				out[j.Ref+"@"+s.Machines[i].ID]++
+			}
 		}
 	}
 	return out
