Greet machines directly at a takeover

Cause: a new leader placed nothing until each machine had reported to it, up to 2 s after it had read its records.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -363,6 +363,7 @@
 		if !m.Up && m.Addr == "" && lm.Addr != "" && lm.State != wire.MachineStarting {
 			m.Addr = lm.Addr
 		}
+		c.greet(m, now)
 		if lm.State == wire.MachineFailed && !m.Leaving {
 			failed = append(failed, m)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -652,13 +652,31 @@
 	}
 	m.Outbox = m.Outbox[:0]
 	if len(orders) > 0 {
-		c.do(m, orders, starts)
+		c.do(m, orders, m.Session, starts)
 	}
 }
 
-func (c *Controller) do(m *fleet.Machine, orders []wire.Order, starts bool) {
+// greet shows the term's token to a machine that runs but has not reported yet,
+// so that a new leader need not wait for its next report. A first call with the
+// wrong tenure is refused, and the refusal names the right one.
+func (c *Controller) greet(m *fleet.Machine, now time.Time) {
+	if m.InFlight || m.Leaving || m.Addr == "" || m.Shown >= c.token() || now.Before(m.GreetAt) {
+		return
+	}
+	m.GreetAt = now.Add(tuning.GreetEvery)
+	session := m.Session
+	for _, p := range m.Live {
+		session = max(session, p.Session)
+	}
+	c.do(m, nil, max(session, 1), false)
+}
+
+func (c *Controller) do(m *fleet.Machine, orders []wire.Order, session uint64, starts bool) {
 	m.InFlight = true
-	req, addr := wire.DoRequest{Token: m.Token, Session: m.Session, Orders: orders}, m.Addr
+	if orders == nil {
+		orders = []wire.Order{}
+	}
+	req, addr := wire.DoRequest{Token: m.Token, Session: session, Orders: orders}, m.Addr
 	go func() {
 		rep, err := c.Worker.Do(c.ctx, addr, req)
 		c.send(doMsg{m, rep, starts, err})
@@ -678,6 +696,10 @@
 	}
 	if d.rep.Machine == d.m.ID {
 		c.observe(d.m, d.rep, now)
+		if d.m.Shown < c.token() {
+			d.m.GreetAt = now // refused for its tenure, which is known now
+			c.greet(d.m, now)
+		}
 	}
 }
 
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -48,6 +48,7 @@
 			lost = append(lost, m)
 		}
 		c.drain(m, now)
+		c.greet(m, now)
 		c.dispatch(m, now)
 	}
 	c.giveBack(lost, "silent or faulty")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,10 +54,11 @@
 	IdleSince    time.Time
 	CardsIdle    time.Time // since when no card has been in use
 	RestUntil    time.Time
-	Up           bool // has reported
-	Leaving      bool // is being given back
-	InFlight     bool // a direct command is under way
-	Alien        int  // reported tasks that we have no record of and that still run
+	GreetAt      time.Time // not to be greeted before
+	Up           bool      // has reported
+	Leaving      bool      // is being given back
+	InFlight     bool      // a direct command is under way
+	Alien        int       // reported tasks that we have no record of and that still run
 	Faulty       bool
 
 	Live     map[Key]*Placement
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -76,6 +76,9 @@
 
 	// DoTimeout ends a direct command. Workers answer at once unless they hang.
 	DoTimeout = 2 * time.Second
+	// GreetEvery is the pause between attempts to reach a machine that has not
+	// seen the term's token; its own report comes within a few seconds anyway.
+	GreetEvery = 2 * time.Second
 	// SilentReports is how many report intervals may pass before a machine is
 	// not given new work.
 	SilentReports = 2.6
