--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -31,9 +31,9 @@
 	// GrantLife is the life of the leader's grant: a dead leader is noticed
 	// this late at most. Short enough for quick takeovers, long enough that a
 	// process held up at a tenth of a core keeps it.
-	GrantLife = 2500 * time.Millisecond
+	GrantLife = 1500 * time.Millisecond
 	// GrantTouch is the pause between renewals of the grant: three tries fit.
-	GrantTouch = 700 * time.Millisecond
+	GrantTouch = 400 * time.Millisecond
 	// ElectionRetry is the pause after a failed attempt to take the term.
 	ElectionRetry = 250 * time.Millisecond
 	// FollowHold is how long a follow call is held open. Its return is also the
