--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -282,7 +282,9 @@
 			}
 			r.Count++
 			r.Stopping = r.Stopping && p.Stopping
+			r.LeftS = max(r.LeftS, s.Jobs[ji].EstimateS)
 			if p.State == wire.TaskRunning {
+				r.LeftS = max(0, s.Jobs[ji].EstimateS-now.Sub(p.Since).Seconds())
 				lost := now.Sub(p.Since).Seconds()
 				if cp := s.Jobs[ji].Desc.CheckpointS; cp > 0 {
 					lost = min(lost, cp)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -55,6 +55,7 @@
 	Count    int
 	Stopping bool
 	LostS    float64 // seconds of work that stopping them at once would lose
+	LeftS    float64 // seconds until the last of them is likely to end
 }
 
 // Machine is a machine as seen at the snapshot.
@@ -292,6 +293,9 @@
 	// place in the order of each job: what comes before is never stopped.
 	pos       []int
 	cardWaits bool // work with cards waits
+	// cardFree is when each held machine's card work is likely to end, seconds
+	// from now, with the waiting work that was counted against it.
+	cardFree []float64
 }
 
 // Decide makes the plan.
@@ -363,7 +367,11 @@
 			continue
 		}
 		p.plan.Late = append(p.plan.Late, ji)
-		if s.MayRent {
+		// A rental helps only if it is up before held machines get to it
+		// (Algorithm 1, steps 12-14: wait for the machine that is free soon).
+		// This holds for work with cards, whose machines are dear and take one
+		// task each; small work is spread over all that can be had.
+		if s.MayRent && (j.Need.Cards == 0 || p.cardWait(j, n) > boot) {
 			p.rent(ji, n, zones, keepOff, gang)
 		}
 	}
@@ -382,6 +390,34 @@
 	return p.plan
 }
 
+// cardWait is when the held machines are likely to have room for n tasks of a
+// job with cards, which then are counted against it.
+func (p *planner) cardWait(j *Job, n int) float64 {
+	if p.cardFree == nil {
+		p.cardFree = []float64{}
+		for i := range p.s.Machines {
+			m := &p.s.Machines[i]
+			if p.s.Types[m.Type].Total.Cards == 0 || !(m.Ready || len(m.Tasks) > 0) {
+				continue
+			}
+			left := 0.0
+			for _, r := range m.Tasks {
+				left = math.Max(left, r.LeftS)
+			}
+			p.cardFree = append(p.cardFree, left)
+		}
+	}
+	if len(p.cardFree) < n {
+		return math.Inf(1)
+	}
+	slices.Sort(p.cardFree)
+	wait := p.cardFree[n-1]
+	for i := range n {
+		p.cardFree[i] += j.EstimateS
+	}
+	return wait
+}
+
 func quota(t *Team, need Res) int {
 	n := math.MaxInt32
 	for _, q := range [][3]float64{{t.Max.Cores, t.Used.Cores, need.Cores}, {t.Max.Cards, t.Used.Cards, need.Cards}} {
@@ -482,7 +518,11 @@
 			est += fetchS(t, d)
 		}
 		share := 1 / float64(max(1, t.Total.Slots(j.Need)))
-		cands = append(cands, cand{i, room, t.PriceOf(m.Spot) * share * math.Max(est, 1), m.Free.Cores})
+		left := m.Free.Cores
+		if j.Need.Cards > 0 {
+			left = m.CardIdleS // the last used, so that others are given back
+		}
+		cands = append(cands, cand{i, room, t.PriceOf(m.Spot) * share * math.Max(est, 1), left})
 	}
 	slices.SortStableFunc(cands, func(a, b cand) int {
 		// Equal cost: the fuller machine, so that others empty.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -140,7 +140,11 @@
 						est += d.ImageGB / t.FetchGBps
 					}
 					cost := t.PriceOf(m.Spot) / float64(t.Total.Slots(j.Need)) * max(est, 1)
-					if best < 0 || cost < bestCost-1e-9 || (cost < bestCost+1e-9 && f[i].Cores < f[best].Cores) {
+					tie := best >= 0 && f[i].Cores < f[best].Cores
+					if d.Cards > 0 {
+						tie = best >= 0 && m.CardIdleS < s.Machines[best].CardIdleS
+					}
+					if best < 0 || cost < bestCost-1e-9 || (cost < bestCost+1e-9 && tie) {
 						best, bestCost = i, cost
 					}
 				}
