Keep idle machines the longer the cheaper they are

What an idle second costs against the cheapest way to have the type tells them apart: four boots at the lowest price, in proportion less at higher ones.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -102,7 +102,7 @@
 	// DeadlineFactor times the estimate is the deadline of a job without one.
 	DeadlineFactor float64 `toml:"default_deadline_factor"`
 	// GiveBackFactor times its type's boot time is how long an idle machine is
-	// kept.
+	// kept at the type's lowest price, and the shorter the dearer it is.
 	GiveBackFactor float64 `toml:"give_back_boot_factor"`
 	// CallBudget is the share of the cloud's calls a second that is used.
 	CallBudget float64 `toml:"cloud_call_share"`
@@ -113,7 +113,7 @@
 
 // DefaultOperator returns the values used without an operators' file.
 func DefaultOperator() Operator {
-	return Operator{Rho: 1, DeadlineFactor: 3, GiveBackFactor: 1, CallBudget: 0.8, Estimator: "recent"}
+	return Operator{Rho: 1, DeadlineFactor: 3, GiveBackFactor: 4, CallBudget: 0.8, Estimator: "recent"}
 }
 
 // Load reads the platform's file and, unless its path is empty, the operators'.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -111,7 +111,7 @@
 	Teams     []Team
 	Refused   map[Offer]bool // no capacity lately
 	Rho       float64
-	GiveBack  float64 // times boot time
+	GiveBack  float64 // see giveBack
 	MayRent   bool
 	MayReturn bool
 	// CardRank is the lowest rank of the work with cards that has been seen, -1
@@ -382,7 +382,7 @@
 			if s.Types[m.Type].Total.Cards > 0 {
 				idle = m.CardIdleS
 			}
-			if m.Ready && m.Empty && !taken[i] && idle >= s.GiveBack*s.Types[m.Type].BootS {
+			if m.Ready && m.Empty && !taken[i] && idle >= s.giveBack(m) {
 				p.plan.Returns = append(p.plan.Returns, i)
 			}
 		}
@@ -390,6 +390,19 @@
 	return p.plan
 }
 
+// giveBack is how long a machine is kept idle: a number of boots, which is what
+// having it again would take, the fewer the dearer it is against the cheapest
+// way to have its type.
+func (s *Snapshot) giveBack(m *Machine) float64 {
+	t := &s.Types[m.Type]
+	price := t.PriceOf(m.Spot)
+	low := math.Min(price, t.Price)
+	if t.SpotPrice > 0 {
+		low = math.Min(low, t.SpotPrice)
+	}
+	return s.GiveBack * t.BootS * low / price
+}
+
 // cardWait is when the held machines are likely to have room for n tasks of a
 // job with cards, which then are counted against it.
 func (p *planner) cardWait(j *Job, n int) float64 {
@@ -466,7 +479,7 @@
 				return m.Free.Sub(r, 1).Slots(j.Need)
 			}
 		case p.cardWaits || p.s.CardRank < 0 || j.Rank <= p.s.CardRank || j.Desc.Shape == wire.Gang ||
-			m.CardIdleS >= p.s.GiveBack*t.BootS:
+			m.CardIdleS >= p.s.giveBack(m):
 			return 0
 		}
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -16,7 +16,7 @@
 // random makes a snapshot. With busy, machines carry tasks that could be
 // stopped.
 func random(rng *rand.Rand, busy bool) *Snapshot {
-	s := &Snapshot{Rho: 1, GiveBack: 1, MayRent: true, MayReturn: true, CardRank: -1, Refused: map[Offer]bool{},
+	s := &Snapshot{Rho: 1, GiveBack: 2, MayRent: true, MayReturn: true, CardRank: -1, Refused: map[Offer]bool{},
 		Types: []Type{
 			{Name: "small", Total: Res{4, 0, 16}, Price: 0.2, SpotPrice: 0.06, BootS: 30, FetchGBps: 1, Zones: zones},
 			{Name: "big", Total: Res{16, 0, 64}, Price: 1, SpotPrice: 0.3, BootS: 40, FetchGBps: 1, Zones: zones},
@@ -126,7 +126,7 @@
 								fits = f[i].Cores-r.Cores >= j.Need.Cores && f[i].Mem-r.Mem >= j.Need.Mem
 							}
 						default:
-							place = place && !cardWaits && s.CardRank >= 0 && j.Rank > s.CardRank && d.Shape != wire.Gang && m.CardIdleS < s.GiveBack*t.BootS
+							place = place && !cardWaits && s.CardRank >= 0 && j.Rank > s.CardRank && d.Shape != wire.Gang && m.CardIdleS < s.giveBack(&m)
 						}
 					}
 					if d.OneZone && z[zones[0]]+z[zones[1]] > 0 && z[m.Zone] == 0 {
