Take a node off only when peers were served well after it

At the edges of an outage nodes notice at slightly different times; the load balancer takes a node back later each time it was removed. Kept as a guard.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -28,6 +28,8 @@
 	Up() bool
 	// Summary is the leader's status, from whichever node.
 	Summary(ctx context.Context) (controller.Status, bool)
+	// Refused tells whether it serves others but not this node.
+	Refused() bool
 	// StateOK tells whether the state service serves this node.
 	StateOK() bool
 }
@@ -161,7 +163,7 @@
 		return
 	}
 	var a answer
-	if s.node.StateOK() || !s.peers.Served() {
+	if !s.node.Refused() {
 		a = s.users.Do(r.Context(), op, ref, body)
 	} else {
 		a = refused
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -503,6 +503,13 @@
 		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
 	c.end(ended, now)
+	if c.Log.Enabled(c.ctx, slog.LevelDebug) {
+		for k, p := range m.Live {
+			if j := c.jobs[k.Job]; j != nil && p.State == wire.TaskRunning && p.Since.Equal(now) {
+				c.Log.Debug("task running", "task", taskName(k), "class", j.desc.Class, "machine", m.ID, "age", now.Sub(j.at))
+			}
+		}
+	}
 }
 
 // orders are the stops and reaps due at a machine. Both may be repeated.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -200,18 +200,19 @@
 	return at
 }
 
-// Served tells whether the state service lately served some peer.
-func (g *Group) Served() bool {
-	_, ok := g.served()
+// ServedAfter tells whether the state service has served some peer after the
+// given time, and lately.
+func (g *Group) ServedAfter(t time.Time) bool {
+	_, ok := g.servedAfter(t)
 	return ok
 }
 
-func (g *Group) served() (*link, bool) {
+func (g *Group) servedAfter(t time.Time) (*link, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.links {
-		age := time.Since(l.last.answered) + time.Duration(l.last.word.StateMS)*time.Millisecond
-		if !l.last.asked.IsZero() && age < tuning.UpStateAge {
+		at := l.last.answered.Add(-time.Duration(l.last.word.StateMS) * time.Millisecond)
+		if !l.last.asked.IsZero() && at.After(t) && time.Since(at) < tuning.PeerFresh {
 			return l, true
 		}
 	}
@@ -220,7 +221,7 @@
 
 // Forward passes a user's call to a peer that the state service serves.
 func (g *Group) Forward(ctx context.Context, c *UserCall) (*UserAnswer, bool) {
-	l, ok := g.served()
+	l, ok := g.servedAfter(time.Time{})
 	if !ok {
 		return nil, false
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -129,8 +129,15 @@
 	PeerTimeout = 1 * time.Second
 	// ForwardTimeout ends a user's call passed to a peer; a poll has 2 s in all.
 	ForwardTimeout = 1500 * time.Millisecond
-	// UpStateAge is how long a node alone without state service stays up.
+	// UpStateAge is how long ago the state service may have served a node that
+	// counts as served; its follow of the leader key returns every second.
 	UpStateAge = 2500 * time.Millisecond
+	// RefusedLag is how much later peers must have been served for a node to
+	// count as refused alone: more than nodes differ at the start of an outage.
+	RefusedLag = 2500 * time.Millisecond
+	// PeerFresh is how old a peer's being served may be to count as present:
+	// the follow's second, the exchange's second and their delays.
+	PeerFresh = 3 * time.Second
 	// FinalCache is how many final phases a node remembers (about 100 bytes
 	// each).
 	FinalCache = 20000
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -166,13 +166,18 @@
 // StateOK tells whether the state service serves this node.
 func (n *node) StateOK() bool { return n.store.SinceOK() < tuning.UpStateAge }
 
-// Up is off while the state service serves others but not this node. While it
-// serves nobody the node stays up: removing all nodes would only add to the
-// outage.
-func (n *node) Up() bool {
-	return n.users.HasTypes() && (n.StateOK() || !n.peers.Served())
+// Refused tells whether the state service refuses this node while it serves
+// others: they were served well after this node was. At the edges of an outage
+// nodes notice at slightly different times, which must not look like this: the
+// load balancer takes a node back later each time it was removed.
+func (n *node) Refused() bool {
+	return !n.StateOK() && n.peers.ServedAfter(time.Now().Add(tuning.RefusedLag-n.store.SinceOK()))
 }
 
+// Up is off while the state service refuses this node alone. While it serves
+// nobody the node stays up: removing all nodes would only add to the outage.
+func (n *node) Up() bool { return n.users.HasTypes() && !n.Refused() }
+
 // Summary is the leader's status, from whichever node.
 func (n *node) Summary(ctx context.Context) (s controller.Status, ok bool) {
 	if c := n.leading.Load(); c != nil {
