Test the guards that removing showed to be untested

Every guard was taken out in turn; the term's and records' guards, X, saves on a notice, unknown outcomes of commits and whole gangs had no test that failed.

--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -37,6 +37,8 @@
 	refuse  map[string]bool // hosts that get 503; "" for all
 	// OnCommit is told of every applied commit.
 	OnCommit func(c *wire.Commit)
+	// LoseReply picks applied commits that are not answered.
+	LoseReply func() bool
 }
 
 type change struct {
@@ -291,5 +293,9 @@
 		}
 		s.OnCommit(out)
 	}
+	if s.LoseReply != nil && s.LoseReply() {
+		answer(w, 502, nil)
+		return
+	}
 	answer(w, 200, wire.CommitReply{Revision: s.rev})
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -146,6 +146,7 @@
 		case wire.TaskSaving:
 			if age >= u.job.SaveS {
 				t.saved = true
+				m.w.Saved++
 				m.exit(t, wire.CauseStopped)
 			}
 		}
@@ -175,7 +176,7 @@
 			case w.jobs[t.ref].job.Shape != wire.Gang:
 			case t.state == wire.TaskWaiting:
 				waiting[g] = append(waiting[g], t)
-			case t.state == wire.TaskRunning:
+			case t.state == wire.TaskRunning, t.state == wire.TaskSaving, t.saved:
 				running[g] = append(running[g], t)
 			}
 		}
@@ -193,6 +194,9 @@
 			continue
 		}
 		for _, t := range ts {
+			if t.state != wire.TaskRunning {
+				continue
+			}
 			t.state, t.since, t.cause = wire.TaskExited, time.Now(), "peers"
 			if len(u.finished) > 0 { // they complete together
 				u.finished[t.num], t.cause = true, wire.CauseDone
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -32,9 +32,11 @@
 	nextID    int
 	jobs      map[string]*userJob
 	broken    []string
-	Calls     map[string]int // calls of the cloud, by path
-	LoseReply func(path string) bool
-	addrNode  map[string]string // node name -> address
+	Calls     map[string]int         // calls of the cloud, by path
+	LoseReply func(path string) bool // answers of the cloud that get lost
+	CloudDown bool                   // it answers 503 "trouble"
+	Saved     int                    // tasks that were stopped and saved
+	addrNode  map[string]string      // node name -> address
 }
 
 // userJob is a job as its user knows it.
@@ -163,6 +165,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.Calls[r.URL.Path]++
+	if w.CloudDown {
+		answer(rw, 503, wire.ErrorReply{Error: "trouble"})
+		return
+	}
 	status, v := w.cloudCall(r, body)
 	if w.LoseReply != nil && w.LoseReply(r.URL.Path) {
 		status, v = 502, nil
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -67,6 +67,7 @@
 		}
 		c.log = slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
 		c.w = standin.NewWorld(ctx, c.net, deployment(), testTypes)
+		c.w.State.OnCommit = c.checkGuards
 		for i, name := range nodeNames {
 			c.w.AddNode(name, fmt.Sprintf("10.0.0.%d:80", i+1))
 			c.boot(name)
@@ -87,6 +88,23 @@
 	})
 }
 
+// checkGuards judges applied commits: a leader's writes are guarded by its term
+// and by the records they change, an open job's by its own version; otherwise a
+// late copy could undo what came after it.
+func (c *cluster) checkGuards(txn *wire.Commit) {
+	guarded := map[string]bool{}
+	for _, g := range txn.Guards {
+		guarded[g.Key] = true
+	}
+	for _, ch := range txn.Changes {
+		key := ch.Set + ch.Delete
+		leaders := strings.HasSuffix(key, "/t") || strings.HasPrefix(key, "d/") || strings.HasPrefix(key, "r/") || key == "catalog"
+		if (leaders && !guarded["term"]) || (strings.HasPrefix(key, "o/") && !guarded[key]) {
+			c.t.Errorf("unguarded change of %s", key)
+		}
+	}
+}
+
 // boot starts a node, as a new process would.
 func (c *cluster) boot(name string) {
 	i := slices.Index(nodeNames, name)
@@ -266,6 +284,7 @@
 			var once sync.Once
 			placed := make(chan struct{})
 			c.w.State.OnCommit = func(txn *wire.Commit) {
+				c.checkGuards(txn)
 				for _, ch := range txn.Changes {
 					if strings.HasSuffix(ch.Set, "/t") {
 						once.Do(func() { close(placed) })
@@ -451,6 +470,37 @@
 	})
 }
 
+// What can be saved on a machine with a notice is saved before it is taken.
+func TestNoticeSaves(t *testing.T) {
+	run(t, 95, func(c *cluster) {
+		j := sweep(1, "check", 2)
+		j.CheckpointS, j.SaveS = 10, 3
+		c.submit(j, 90)
+		c.until("it runs", time.Minute, func() bool { return len(c.w.On(j.ID)) > 0 })
+		time.Sleep(10 * time.Second)
+		c.w.Notice(c.w.On(j.ID)[0], 15*time.Second)
+		time.Sleep(16 * time.Second)
+		if c.w.Saved == 0 {
+			t.Error("nothing was saved")
+		}
+		c.untilDone(4*time.Minute, j.ID)
+	})
+}
+
+// Commits whose answers are lost were applied: they are settled by reading, by
+// the leader as well as by those who serve users.
+func TestCommitOutcomeUnknown(t *testing.T) {
+	run(t, 98, func(c *cluster) {
+		n := 0
+		c.w.State.LoseReply = func() bool { n++; return n%3 == 0 }
+		for i := range 4 {
+			c.submit(sweep(1+i, "check", 5), 15)
+		}
+		c.w.Withdraw("req-000004")
+		c.untilDone(4*time.Minute, c.jobs[:3]...)
+	})
+}
+
 // A rental whose answer is lost is asked for again under the same claim, also
 // by the next leader, and rents once.
 func TestRentalOutcomeUnknown(t *testing.T) {
@@ -513,10 +563,14 @@
 			}
 		}
 		mends = append(mends, c.isolate(old, standin.Hold, "state", "cloud", "users"))
+		// With the cloud down the machine cannot be given back either: only X,
+		// after which the old leader stops answering, ends its tasks.
+		c.w.CloudDown = true
 		time.Sleep(10 * time.Second)
 		c.w.Withdraw("req-000001")
 		c.submit(standing(3, 2), 0)
 		time.Sleep(45 * time.Second)
+		c.w.CloudDown = false
 		for _, mend := range mends {
 			mend()
 		}
