--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -203,6 +204,9 @@
 			}
 		case errors.Is(err, statestore.ErrRefused):
 			return refused
+		case errors.Is(err, statestore.ErrMalformed):
+			u.Log.Error("record refused", "err", err)
+			return busy
 		}
 		// Otherwise the outcome is unknown: the next try reads before it
 		// writes, or its write's guards find out.
@@ -251,6 +255,13 @@
 			return fault(422, err), nil
 		})
 	}
+	// Only types that exist are kept: a long list of others must not make the
+	// record too large for the state service.
+	job.Types = slices.DeleteFunc(job.Types, func(name string) bool {
+		return !slices.ContainsFunc(*types, func(t sched.Type) bool { return t.Name == name })
+	})
+	slices.Sort(job.Types)
+	job.Types = slices.Compact(job.Types)
 	open := ledger.OpenJob{Job: *job, AtMS: time.Now().UnixMilli()}
 	return u.settle(ctx, func() (answer, error) {
 		_, err := u.Store.Commit(ctx, wire.Commit{
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -189,6 +189,9 @@
 			c.commitAfter = now.Add(tuning.PassGap)
 			return
 		}
+		if !errors.Is(m.err, statestore.ErrRefused) {
+			c.Log.Error("commit failed", "err", m.err)
+		}
 		c.commitAfter = now.Add(tuning.ElectionRetry)
 		return
 	}
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"marblehaven/internal/election"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/wire"
@@ -44,3 +45,23 @@
 		t.Errorf("%d wait while one may run", j.waiting())
 	}
 }
+
+// A completion is recorded before the worker may forget it: a leader that dies
+// in between would leave nothing that shows it.
+func TestDoneIsRecordedBeforeReap(t *testing.T) {
+	now := time.Now()
+	c := &Controller{jobs: map[string]*job{}, term: election.Held{N: 1}}
+	j := newJob("req-1", &ledger.OpenJob{Job: wire.Job{ID: "req-1", Shape: wire.Array, Tasks: 2}}, 1, now)
+	c.jobs["req-1"] = j
+	m := fleet.New("m-1", c.token(), now, now.Add(time.Hour))
+	m.Observe(&wire.Report{Machine: "m-1", Session: 1, Seq: 1, Token: c.token(), Tasks: []wire.TaskReport{
+		{Task: "req-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}}}, parseTask, now, now)
+	j.pendingDone[0] = true
+	if o := c.orders(m); len(o) > 0 {
+		t.Errorf("ordered %v before the completion was recorded", o)
+	}
+	delete(j.pendingDone, 0)
+	if o := c.orders(m); len(o) != 1 || o[0].Verb != wire.VerbForget {
+		t.Errorf("ordered %v after it", o)
+	}
+}
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -277,8 +277,12 @@
 		sj := sched.Job{Ref: j.ref, Desc: &j.desc, Need: need, Rank: j.rank(), Guaranteed: guaranteed, EstimateS: est,
 			Waiting: j.waiting(), Live: len(j.live), Team: ti, Resting: now.Before(j.restUntil),
 			DueS: c.dueIn(j, est, guaranteed, now), ZoneLive: map[string]int{}}
-		if room := c.maxLive - len(j.live); sj.Waiting > room && !j.gang() {
-			sj.Waiting = max(0, room) // more would not fit into the run record
+		if room := c.maxLive - len(j.live); sj.Waiting > room {
+			// More would not fit into the run record, and a gang starts whole.
+			sj.Waiting = max(0, room)
+			if j.gang() {
+				sj.Waiting = 0
+			}
 		}
 		for _, p := range j.live {
 			sj.ZoneLive[p.Machine.Zone]++
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -249,7 +249,7 @@
 	u.submitted = true
 	before := *u
 	w.mu.Unlock()
-	status, st := w.ask(http.MethodPost, "/v1/jobs", jobMap(&job), 5*time.Second, 60*time.Second)
+	status, st := w.ask(http.MethodPost, "/v1/jobs", JobMap(&job), 5*time.Second, 60*time.Second)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if status == 200 || status == 201 {
@@ -261,8 +261,8 @@
 	return status
 }
 
-// jobMap spells a job as users do; only what has a value where null is allowed.
-func jobMap(j *wire.Job) map[string]any {
+// JobMap spells a job as users do; only what has a value where null is allowed.
+func JobMap(j *wire.Job) map[string]any {
 	m := map[string]any{"ref": j.ID, "workload": j.Class, "owner": j.Team, "shape": j.Shape, "rank": j.Rank,
 		"pieces": j.Tasks, "cores": j.Cores, "cards": j.Cards, "memGb": j.MemGB, "bundle": j.Image,
 		"imageGb": j.ImageGB, "samePlace": j.OneZone, "spread": j.Spread, "loaners": j.Spot,
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -28,6 +28,8 @@
 	ErrNotFound = errors.New("state service: not found")
 	// ErrNoLease: the grant is over.
 	ErrNoLease = errors.New("state service: grant is over")
+	// ErrMalformed: the service refused the request as malformed; not executed.
+	ErrMalformed = errors.New("state service: malformed request")
 	// ErrCompacted: the follow position is too old.
 	ErrCompacted = errors.New("state service: changes no longer kept")
 )
@@ -123,6 +125,8 @@
 		return r, ErrConflict
 	case status == 400 && r.Error == wire.ErrNoLease:
 		return r, ErrNoLease
+	case status == 400:
+		return r, fmt.Errorf("%w: %s", ErrMalformed, r.Error)
 	case status != 200 || r.Revision == 0:
 		return r, unexpected(status)
 	}
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -1,10 +1,12 @@
 package marblehaven
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"strings"
@@ -470,6 +472,66 @@
 	})
 }
 
+// The users' address answers what is wrong with a call, and shows the status
+// page with player-facing work that is behind on top.
+func TestInterface(t *testing.T) {
+	run(t, 97, func(c *cluster) {
+		body := func(change func(m map[string]any)) []byte {
+			j := sweep(1, "check", 2)
+			m := standin.JobMap(&j)
+			change(m)
+			b, _ := wire.Marshal(m)
+			return b
+		}
+		many := make([]string, 3000)
+		for i := range many {
+			many[i] = fmt.Sprint("type-", i)
+		}
+		for _, tc := range []struct {
+			what, method, path string
+			body               []byte
+			want               int
+		}{
+			{"malformed", "POST", "/v1/jobs", []byte("x"), 400},
+			{"too large", "POST", "/v1/jobs", make([]byte, 70000), 413},
+			{"unknown team", "POST", "/v1/jobs", body(func(m map[string]any) { m["owner"] = "nobody" }), 422},
+			{"unknown type", "POST", "/v1/jobs", body(func(m map[string]any) { m["flavors"] = []string{"huge"} }), 422},
+			{"unknown zone", "POST", "/v1/jobs", body(func(m map[string]any) { m["quarry"] = "z" }), 422},
+			{"fits no type", "POST", "/v1/jobs", body(func(m map[string]any) { m["cores"], m["memGb"] = 10, 100 }), 422},
+			{"an array of one limit", "POST", "/v1/jobs", body(func(m map[string]any) { m["ref"], m["pieces"] = "req-000002", 100000 }), 201},
+			{"a gang over the limit", "POST", "/v1/jobs", body(func(m map[string]any) { m["shape"], m["pieces"] = "group", 21 }), 422},
+			{"many types", "POST", "/v1/jobs", body(func(m map[string]any) { m["ref"], m["flavors"] = "req-000003", append(many, "small") }), 201},
+			{"again", "POST", "/v1/jobs", body(func(m map[string]any) { m["ref"] = "req-000003" }), 200},
+			{"unknown job", "GET", "/v1/jobs/req-000009", nil, 404},
+			{"malformed ref", "GET", "/v1/jobs/x", nil, 404},
+			{"withdrawal of an unknown job", "POST", "/v1/jobs/req-000009/withdraw", nil, 404},
+			{"wrong method", "PUT", "/v1/jobs", nil, 405},
+			{"wrong method", "DELETE", "/v1/jobs/req-000002", nil, 405},
+			{"no such path", "GET", "/v2", nil, 404},
+			{"malformed report", "POST", "/hello", []byte("x"), 400},
+			{"health", "GET", "/up", nil, 200},
+		} {
+			r := httptest.NewRequest(tc.method, tc.path, bytes.NewReader(tc.body))
+			rec := httptest.NewRecorder()
+			c.nodes[nodeNames[0]].api.ServeHTTP(rec, r)
+			if rec.Code != tc.want {
+				t.Errorf("%s: %d, not %d", tc.what, rec.Code, tc.want)
+			}
+		}
+		c.w.CloudDown = true
+		c.submit(standing(5, 1), 0)
+		time.Sleep(10 * time.Second)
+		for _, n := range c.nodes {
+			rec := httptest.NewRecorder()
+			n.api.ServeHTTP(rec, httptest.NewRequest("GET", "/", nil))
+			if p := rec.Body.String(); !strings.Contains(p, "work is behind") || !strings.Contains(p, "req-000005") || !strings.Contains(p, c.leader()+" leads") {
+				t.Errorf("status page of %s: %s", n.cfg.Node, p)
+			}
+		}
+		c.w.CloudDown = false
+	})
+}
+
 // What can be saved on a machine with a notice is saved before it is taken.
 func TestNoticeSaves(t *testing.T) {
 	run(t, 95, func(c *cluster) {
