--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -12,6 +12,9 @@
 
 const eps = 1e-9
 
+// lowestRank is the rank that everything else may stop.
+const lowestRank = 3
+
 // Res is an amount of machine resources.
 type Res struct{ Cores, Cards, Mem float64 }
 
@@ -81,7 +84,6 @@
 	Need       Res
 	Rank       int // 0 is production
 	Guaranteed bool
-	AgeS       float64
 	DueS       float64 // seconds from now until it should be complete
 	EstimateS  float64
 	Waiting    int // tasks to be started
@@ -478,7 +480,7 @@
 			if r := p.s.CardNeed; r.Cards > 0 && m.Free.Slots(r) > 0 {
 				return m.Free.Sub(r, 1).Slots(j.Need)
 			}
-		case p.cardWaits || p.s.CardRank < 0 || j.Rank <= p.s.CardRank || j.Desc.Shape == wire.Gang ||
+		case p.cardWaits || j.Rank <= p.cardRank() || j.Desc.Shape == wire.Gang ||
 			m.CardIdleS >= p.s.giveBack(m):
 			return 0
 		}
@@ -486,6 +488,16 @@
 	return m.Free.Slots(j.Need)
 }
 
+// cardRank is the rank that work on an idle machine with cards must be below.
+// As long as no work with cards has been seen, as after a takeover, only the
+// lowest rank is certain to be stopped for it.
+func (p *planner) cardRank() int {
+	if p.s.CardRank < 0 {
+		return lowestRank - 1
+	}
+	return p.s.CardRank
+}
+
 // cardWork tells whether work with cards is on the machine.
 func (p *planner) cardWork(m *Machine) bool {
 	for _, r := range m.Tasks {
