--- a/internal/api/page.go
+++ b/internal/api/page.go
@@ -5,21 +5,11 @@
 	"context"
 	"html/template"
 	"net/http"
-	"sync/atomic"
-	"time"
 
 	"marblehaven/internal/controller"
 	"marblehaven/internal/tuning"
 )
 
-// atomicTime is a time that is moved forward by whoever comes first.
-type atomicTime struct{ ns atomic.Int64 }
-
-func (a *atomicTime) advance(now time.Time, gap time.Duration) bool {
-	last := a.ns.Load()
-	return now.UnixNano()-last >= int64(gap) && a.ns.CompareAndSwap(last, now.UnixNano())
-}
-
 var pageTemplate = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>marblehaven</title>
 <meta http-equiv="refresh" content="10">
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"marblehaven/internal/controller"
 	"marblehaven/internal/ledger"
@@ -36,18 +35,18 @@
 
 // Server serves the users' address.
 type Server struct {
-	name    string
-	users   *Users
-	node    Node
-	peers   *peer.Group
-	log     *slog.Logger
-	slots   chan struct{}
-	limiter logLimiter
+	name       string
+	users      *Users
+	node       Node
+	peers      *peer.Group
+	log        *slog.Logger
+	slots      chan struct{}
+	complaints *wire.Complaints
 }
 
 // NewServer makes the server of a node.
-func NewServer(name string, users *Users, node Node, peers *peer.Group, log *slog.Logger) *Server {
-	return &Server{name: name, users: users, node: node, peers: peers, log: log, slots: make(chan struct{}, tuning.MaxInflight)}
+func NewServer(name string, users *Users, node Node, peers *peer.Group, log *slog.Logger, cs *wire.Complaints) *Server {
+	return &Server{name: name, users: users, node: node, peers: peers, log: log, complaints: cs, slots: make(chan struct{}, tuning.MaxInflight)}
 }
 
 // Serve answers on the listener until ctx ends.
@@ -190,9 +189,7 @@
 		err = rep.Check()
 	}
 	if err != nil {
-		if s.limiter.allow(time.Now()) {
-			s.log.Error("malformed report", "from", r.RemoteAddr, "err", err)
-		}
+		s.complaints.Note(r.RemoteAddr, err)
 		reply(w, http.StatusBadRequest, nil)
 		return
 	}
@@ -212,8 +209,3 @@
 	}
 	reply(w, http.StatusMisdirectedRequest, to)
 }
-
-// logLimiter lets one line through per interval.
-type logLimiter struct{ last atomicTime }
-
-func (l *logLimiter) allow(now time.Time) bool { return l.last.advance(now, tuning.ErrorLogEvery) }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -26,14 +26,14 @@
 
 // Client is a client of the cloud. It is safe for concurrent use.
 type Client struct {
-	base string
-	hc   *http.Client
-	lim  *rate.Limiter
+	base   string
+	caller wire.Caller
+	lim    *rate.Limiter
 }
 
 // New makes a client that makes at most rps calls a second.
-func New(addr string, rt http.RoundTripper, rps float64) *Client {
-	return &Client{base: "http://" + addr, hc: &http.Client{Transport: rt}, lim: rate.NewLimiter(rate.Limit(rps), int(math.Max(1, rps)))}
+func New(addr string, rt http.RoundTripper, cs *wire.Complaints, rps float64) *Client {
+	return &Client{base: "http://" + addr, caller: wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}, lim: rate.NewLimiter(rate.Limit(rps), int(math.Max(1, rps)))}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in any, out map[int]any) error {
@@ -42,7 +42,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.CloudTimeout)
 	defer cancel()
-	status, err := wire.Call(ctx, c.hc, method, c.base+path, in, out)
+	status, err := c.caller.Call(ctx, method, c.base+path, in, out)
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -37,14 +37,14 @@
 // Client is a client of the state service. It is safe for concurrent use.
 type Client struct {
 	base   string
-	hc     *http.Client
+	caller wire.Caller
 	lastOK atomic.Int64 // steady time of the last answer that shows service, ns since start
 	start  time.Time
 }
 
 // New makes a client for the address host:port over the given transport.
-func New(addr string, rt http.RoundTripper) *Client {
-	return &Client{base: "http://" + addr, hc: &http.Client{Transport: rt}, start: time.Now()}
+func New(addr string, rt http.RoundTripper, cs *wire.Complaints) *Client {
+	return &Client{base: "http://" + addr, caller: wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}, start: time.Now()}
 }
 
 // SinceOK is the time since the service last answered other than by refusing.
@@ -55,7 +55,7 @@
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, in any, out map[int]any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	status, err := wire.Call(ctx, c.hc, method, c.base+path, in, out)
+	status, err := c.caller.Call(ctx, method, c.base+path, in, out)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
-	"strconv"
+	"sync/atomic"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -255,6 +257,42 @@
 // Marshal encodes a value.
 func Marshal(v any) ([]byte, error) { return msgpack.Marshal(v) }
 
+// ErrMalformed: an answer that cannot be read. It counts as no answer.
+var ErrMalformed = errors.New("malformed answer")
+
+// Complaints logs malformed messages at a limited rate.
+type Complaints struct {
+	log  *slog.Logger
+	last atomic.Int64 // when it last logged, ns
+}
+
+// NewComplaints makes a log of malformed messages.
+func NewComplaints(log *slog.Logger) *Complaints { return &Complaints{log: log} }
+
+// Note logs a malformed message, unless another was logged just before.
+func (c *Complaints) Note(from string, err error) {
+	now := time.Now().UnixNano()
+	last := c.last.Load()
+	if now-last >= int64(tuning.ErrorLogEvery) && c.last.CompareAndSwap(last, now) {
+		c.log.Error("malformed message", "from", from, "err", err)
+	}
+}
+
+// Caller makes calls to one kind of service.
+type Caller struct {
+	HC         *http.Client
+	Complaints *Complaints
+}
+
+// Call is Call, with malformed answers noted.
+func (c Caller) Call(ctx context.Context, method, url string, in any, out map[int]any) (int, error) {
+	status, err := Call(ctx, c.HC, method, url, in, out)
+	if errors.Is(err, ErrMalformed) {
+		c.Complaints.Note(url, err)
+	}
+	return status, err
+}
+
 // Call makes one HTTP request with MessagePack bodies. The answer's body is
 // decoded into out[status] where there is one. err is set when there was no
 // usable answer, in which case the request may or may not have been executed.
@@ -285,7 +323,7 @@
 	}
 	if v, ok := out[resp.StatusCode]; ok && v != nil {
 		if err := Unmarshal(raw, v); err != nil {
-			return 0, fmt.Errorf("malformed answer %s to %s: %w", strconv.Itoa(resp.StatusCode), req.URL.Path, err)
+			return 0, fmt.Errorf("%w (status %d): %v", ErrMalformed, resp.StatusCode, err)
 		}
 	}
 	return resp.StatusCode, nil
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -11,10 +11,12 @@
 )
 
 // Client sends commands; it is safe for concurrent use.
-type Client struct{ hc *http.Client }
+type Client struct{ caller wire.Caller }
 
 // New makes a client over the given transport.
-func New(rt http.RoundTripper) *Client { return &Client{hc: &http.Client{Transport: rt}} }
+func New(rt http.RoundTripper, cs *wire.Complaints) *Client {
+	return &Client{wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}}
+}
 
 // Do sends commands to the worker at addr and returns its report after them,
 // executed or refused whole: the report tells. An error means that they may
@@ -23,7 +25,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tuning.DoTimeout)
 	defer cancel()
 	rep := new(wire.Report)
-	status, err := wire.Call(ctx, c.hc, http.MethodPost, "http://"+addr+"/do", req, map[int]any{200: rep, 409: rep})
+	status, err := c.caller.Call(ctx, http.MethodPost, "http://"+addr+"/do", req, map[int]any{200: rep, 409: rep})
 	if err == nil && status != 200 && status != 409 {
 		err = fmt.Errorf("worker answered %d", status)
 	}
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -88,16 +88,17 @@
 
 func newNode(cfg *Config, log *slog.Logger, l links) (*node, error) {
 	n := &node{cfg: cfg, log: log}
-	n.store = statestore.New(cfg.Services.State, l.state)
-	n.cloud = cloud.New(cfg.Services.Cloud, l.cloud, cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
-	n.workers = worker.New(l.workers)
+	cs := wire.NewComplaints(log)
+	n.store = statestore.New(cfg.Services.State, l.state, cs)
+	n.cloud = cloud.New(cfg.Services.Cloud, l.cloud, cs, cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
+	n.workers = worker.New(l.workers, cs)
 	n.keeper = election.New(n.store, cfg.Node, log)
 	n.users = api.NewUsers(cfg, n.store, log)
 	var err error
 	if n.peers, err = peer.NewGroup(cfg.Peers, l.peer, n, log); err != nil {
 		return nil, err
 	}
-	n.api = api.NewServer(cfg.Node, n.users, n, n.peers, log)
+	n.api = api.NewServer(cfg.Node, n.users, n, n.peers, log, cs)
 	return n, nil
 }
 
