Stop lower work at once for card work, too

Cause: a gang waited up to 7 s for the saves of the idle-rank tasks on its machine. What is lost is at most the time since their last checkpoint.

--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -180,13 +180,9 @@
 		c.Log.Info("making room", "machine", m.ID, "job", j.ref)
 		for _, p := range m.Live {
 			if p.Job == j.ref {
-				// Player-facing work does not wait for a save; what is lost
-				// is no more than the time since the last checkpoint.
-				grace := 0.0
-				if j.desc.CheckpointS > 0 && !st.Now {
-					grace = j.desc.SaveS + tuning.SaveMargin
-				}
-				c.stop(p, grace, now)
+				// What goes before does not wait for a save: no more is lost
+				// than the time since the last checkpoint.
+				c.stop(p, 0, now)
 			}
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -131,11 +131,8 @@
 	Count int
 }
 
-// Stop makes room: all tasks of Job on Machine are stopped, at once with Now.
-type Stop struct {
-	Machine, Job int
-	Now          bool
-}
+// Stop makes room: all tasks of Job on Machine are stopped, at once.
+type Stop struct{ Machine, Job int }
 
 // Plan is what to do.
 type Plan struct {
@@ -645,7 +642,7 @@
 				free = free.Sub(v.Need, -r.Count)
 				if !r.Stopping {
 					cost += r.LostS * v.Need.Cores
-					st = append(st, Stop{i, r.Job, j.Rank == 0})
+					st = append(st, Stop{i, r.Job})
 				}
 			}
 			if free.Slots(j.Need) > 0 && cost < bestCost {
