--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -37,6 +38,8 @@
 	refuse  map[string]bool // hosts that get 503; "" for all
 	// OnCommit is told of every applied commit.
 	OnCommit func(c *wire.Commit)
+	// Limits of a commit; 0 is none. Breaking one is the caller's mistake.
+	MaxOps, MaxValue int
 	// LoseReply picks applied commits that are not answered.
 	LoseReply func() bool
 }
@@ -259,7 +262,13 @@
 		answer(w, 400, wire.ErrorReply{Error: err.Error()})
 		return
 	}
+	if s.MaxOps > 0 && (len(c.Changes) > s.MaxOps || len(c.Guards) > 4*s.MaxOps || len(body) > 64<<10) {
+		panic(fmt.Sprintf("commit of %d changes, %d guards, %d bytes", len(c.Changes), len(c.Guards), len(body)))
+	}
 	for _, ch := range c.Changes {
+		if s.MaxValue > 0 && len(ch.Value) > s.MaxValue {
+			panic(fmt.Sprintf("value of %d bytes at %s", len(ch.Value), ch.Set))
+		}
 		if ch.Lease != 0 && s.leases[ch.Lease] == nil {
 			answer(w, 400, wire.ErrorReply{Error: wire.ErrNoLease})
 			return
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -59,6 +59,7 @@
 	for _, t := range types {
 		w.types[t.Name] = t
 	}
+	w.State.MaxOps, w.State.MaxValue = cfg.State.TxnOps, int(cfg.State.ValueKB*1024)
 	net.Listen("state", "state:1", w.State)
 	net.Listen("cloud", "cloud:1", http.HandlerFunc(w.cloud))
 	go func() {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -532,6 +532,19 @@
 	})
 }
 
+// An array of thousands of tasks, hundreds at a time, keeps its records and
+// commits within the state service's limits, also over a change of leader.
+func TestLargeArray(t *testing.T) {
+	run(t, 96, func(c *cluster) {
+		j := sweep(1, "many", 3000)
+		j.Cores, j.MemGB, j.EstimateS = 0.05, 0.1, 5
+		c.submit(j, 4)
+		c.until("many run", 2*time.Minute, func() bool { _, st := c.w.Poll(j.ID); return st.Running > 200 && st.Done > 300 })
+		c.kill(c.leader())
+		c.untilDone(10*time.Minute, j.ID)
+	})
+}
+
 // What can be saved on a machine with a notice is saved before it is taken.
 func TestNoticeSaves(t *testing.T) {
 	run(t, 95, func(c *cluster) {
