--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -89,16 +89,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var a answer
 	switch op {
 	case opSubmit:
 		return u.submit(ctx, body)
 	case opPoll:
-		a = u.poll(ctx, ref)
+		return u.poll(ctx, ref)
 	case opWithdraw:
-		a = u.withdraw(ctx, ref)
+		return u.withdraw(ctx, ref)
 	}
-	return a
+	return fault(404, errors.New("no such call"))
 }
 
 // UserCall answers a call that a peer passed on.
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"marblehaven/internal/cloud"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/statestore"
@@ -273,7 +274,7 @@
 			delete(c.refused, offer{cl.Type, cl.Zone, cl.Spot})
 		}
 		c.Log.Info("rented", "claim", cl.Claim.Claim, "got", len(m.hosts), "asked", cl.Count)
-	case errorsIsNoCapacity(m.err):
+	case errors.Is(m.err, cloud.ErrNoCapacity):
 		cl.settled, cl.drop = true, true
 		c.cloudOK = true
 		c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
@@ -284,7 +285,7 @@
 		cl.callAt = now.Add(tuning.MachineBackoff)
 		c.cloudOK = false
 		c.Log.Info("rental call failed", "claim", cl.Claim.Claim, "err", m.err)
-		if errorsIsMalformed(m.err) {
+		if errors.Is(m.err, cloud.ErrMalformed) {
 			cl.settled, cl.drop = true, true
 			c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -166,21 +166,19 @@
 			return nil, ErrNotEntitled
 		}
 		return r, nil
-	case <-c.ctxDone():
+	case <-c.ctx.Done():
 		return nil, ErrNotEntitled
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
-func (c *Controller) ctxDone() <-chan struct{} { return c.ctx.Done() }
-
 // Status asks for a summary.
 func (c *Controller) Status(ctx context.Context) (Status, bool) {
 	reply := make(chan Status, 1)
 	select {
 	case c.inbox <- statusMsg{reply}:
-	case <-c.ctxDone():
+	case <-c.ctx.Done():
 		return Status{}, false
 	case <-ctx.Done():
 		return Status{}, false
@@ -188,7 +186,7 @@
 	select {
 	case s := <-reply:
 		return s, true
-	case <-c.ctxDone():
+	case <-c.ctx.Done():
 	case <-ctx.Done():
 	}
 	return Status{}, false
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -1,22 +1,17 @@
 package controller
 
 import (
-	"errors"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
-	"marblehaven/internal/cloud"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/sched"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
 
-func errorsIsNoCapacity(err error) bool { return errors.Is(err, cloud.ErrNoCapacity) }
-func errorsIsMalformed(err error) bool  { return errors.Is(err, cloud.ErrMalformed) }
-
 func (c *Controller) silence() time.Duration {
 	return seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentReports)
 }
@@ -331,7 +326,7 @@
 		for _, r := range per {
 			sm.Tasks = append(sm.Tasks, *r)
 		}
-		sm.HasImage = imageSet{m}.of(s.Jobs)
+		sm.HasImage = cachedOn(m, s.Jobs)
 		s.Machines = append(s.Machines, sm)
 		machines = append(machines, m)
 	}
@@ -357,13 +352,11 @@
 	return s, jobs, machines
 }
 
-type imageSet struct{ m *fleet.Machine }
-
-// of asks the machine about the images that matter in this pass only.
-func (i imageSet) of(jobs []sched.Job) map[string]bool {
+// cachedOn tells which of the images that matter in this pass a machine has.
+func cachedOn(m *fleet.Machine, jobs []sched.Job) map[string]bool {
 	out := map[string]bool{}
 	for k := range jobs {
-		if name := jobs[k].Desc.Image; jobs[k].Waiting > 0 && i.m.HasImage(name) {
+		if name := jobs[k].Desc.Image; jobs[k].Waiting > 0 && m.HasImage(name) {
 			out[name] = true
 		}
 	}
