--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -13,6 +13,7 @@
 
 	"marblehaven/internal/config"
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
 	"marblehaven/internal/peer"
 	"marblehaven/internal/sched"
 	"marblehaven/internal/statestore"
@@ -97,7 +98,7 @@
 	case opWithdraw:
 		return u.withdraw(ctx, ref)
 	}
-	return fault(404, errors.New("no such call"))
+	return busy
 }
 
 // UserCall answers a call that a peer passed on.
@@ -178,17 +179,6 @@
 // the answer leaves, so that SinceTold never claims too much.
 func (u *Users) tell() { u.told.Store(int64(time.Since(u.start))) }
 
-func (u *Users) pause(ctx context.Context) bool {
-	t := time.NewTimer(tuning.UserRetryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // settle runs one attempt after another until there is a certain answer. Being
 // throttled is waited out a few times; a refusal is passed on at once.
 func (u *Users) settle(ctx context.Context, try func() (answer, error)) answer {
@@ -209,7 +199,7 @@
 		}
 		// Otherwise the outcome is unknown: the next try reads before it
 		// writes, or its write's guards find out.
-		if !u.pause(ctx) {
+		if !pause.For(ctx, tuning.UserRetryPause) {
 			return refused
 		}
 	}
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -11,6 +11,7 @@
 	"marblehaven/internal/cloud"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -143,15 +144,15 @@
 		case errors.Is(err, statestore.ErrUnknown):
 			unknown = true
 			c.Log.Debug("commit unanswered", "err", err)
-			wait(ctx, tuning.ElectionRetry)
+			pause.For(ctx, tuning.ElectionRetry)
 			continue
 		case errors.Is(err, statestore.ErrRefused) && unknown:
-			wait(ctx, tuning.ElectionRetry)
+			pause.For(ctx, tuning.ElectionRetry)
 			continue
 		case errors.Is(err, statestore.ErrConflict) && unknown && !slices.Contains(r.Failed, ledger.KeyTerm) && key != "":
 			it, gerr := c.Store.Get(ctx, key)
 			if gerr != nil && !errors.Is(gerr, statestore.ErrNotFound) {
-				wait(ctx, tuning.ElectionRetry)
+				pause.For(ctx, tuning.ElectionRetry)
 				continue
 			}
 			if gerr == nil && it.Version != was {
@@ -317,7 +318,7 @@
 		c.Log.Info("returning machines", "why", why, "machines", ids)
 		go func() {
 			err := c.Cloud.Return(c.ctx, ids)
-			for err != nil && wait(c.ctx, tuning.MachineBackoff) {
+			for err != nil && pause.For(c.ctx, tuning.MachineBackoff) {
 				err = c.Cloud.Return(c.ctx, ids)
 			}
 			c.send(returnMsg{part, err})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"marblehaven/internal/election"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
 	"marblehaven/internal/sched"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
@@ -292,7 +293,7 @@
 		}
 		if err != nil {
 			c.Log.Debug("reading records", "err", err)
-			wait(ctx, tuning.ElectionRetry)
+			pause.For(ctx, tuning.ElectionRetry)
 			continue
 		}
 		now := time.Now()
@@ -387,14 +388,14 @@
 				c.send(m)
 			}
 		default:
-			wait(ctx, tuning.ElectionRetry)
+			pause.For(ctx, tuning.ElectionRetry)
 		}
 	}
 }
 
 // confirmTerm proves once a second that the term is still ours.
 func (c *Controller) confirmTerm(ctx context.Context) {
-	for wait(ctx, tuning.FollowHold) {
+	for pause.For(ctx, tuning.FollowHold) {
 		start := time.Now()
 		it, err := c.Store.Get(ctx, ledger.KeyTerm)
 		if err != nil {
@@ -411,17 +412,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // confirmed is the time up to which the state service itself has proved that.
 func (c *Controller) confirmed() time.Time {
 	if c.asOfTerm.Before(c.asOfFollow) {
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"marblehaven/internal/fleet"
+	"marblehaven/internal/pause"
 	"marblehaven/internal/sched"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -64,7 +65,7 @@
 		save := !c.loadedTypes
 		go func() {
 			types, err := c.Cloud.Catalog(c.ctx)
-			for err != nil && wait(c.ctx, tuning.MachineBackoff) {
+			for err != nil && pause.For(c.ctx, tuning.MachineBackoff) {
 				types, err = c.Cloud.Catalog(c.ctx)
 			}
 			if err == nil {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -7,9 +7,9 @@
 	"errors"
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -74,7 +74,7 @@
 			k.log.Info("no longer leading", "term", held.N)
 		case err != nil:
 			k.log.Debug("election", "err", err)
-			sleep(ctx, tuning.ElectionRetry)
+			pause.For(ctx, tuning.ElectionRetry)
 		default:
 			k.watch(ctx, rev)
 		}
@@ -147,7 +147,7 @@
 		lead(ctx, held)
 		cancel()
 	}()
-	for sleep(ctx, tuning.GrantTouch) {
+	for pause.For(ctx, tuning.GrantTouch) {
 		err := k.store.Touch(ctx, grant)
 		if !errors.Is(err, statestore.ErrNoLease) {
 			continue
@@ -174,7 +174,7 @@
 	for ctx.Err() == nil {
 		ev, err := k.store.Follow(ctx, ledger.KeyLeader, rev, tuning.LeaderFollowHold)
 		if err != nil {
-			sleep(ctx, tuning.ElectionRetry)
+			pause.For(ctx, tuning.ElectionRetry)
 			return
 		}
 		rev = ev.Revision
@@ -192,14 +192,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d; it returns false at once when ctx ends.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
