--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -33,7 +33,7 @@
 
 // New makes a client that makes at most rps calls a second.
 func New(addr string, rt http.RoundTripper, cs *wire.Complaints, rps float64) *Client {
-	return &Client{base: "http://" + addr, caller: wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}, lim: rate.NewLimiter(rate.Limit(rps), int(math.Max(1, rps)))}
+	return &Client{base: "http://" + addr, caller: wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}, lim: rate.NewLimiter(rate.Limit(rps), int(math.Max(1, rps*tuning.CloudBurst)))}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in any, out map[int]any) error {
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -58,25 +58,36 @@
 	limit := c.Config.Deployment.State.TxnOps
 	limit = min(limit, int(c.writes.TokensAt(now)))
 	b := &batch{txn: wire.Commit{Guards: []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}}}}
-	ops := 0
+	ops, spare := 0, 0
 	add := func(n, size int) bool {
-		if ops+n > limit || b.bytes+size > tuning.CommitBytes {
+		if ops+n > limit-spare || b.bytes+size > tuning.CommitBytes {
 			return false
 		}
 		ops += n
 		b.bytes += size
 		return true
 	}
+	for _, cl := range c.claims {
+		if !cl.recorded && add(1, 200) {
+			b.txn.Changes = append(b.txn.Changes, wire.Change{Set: ledger.ClaimKey(cl.Claim.Claim), Value: cl.Claim})
+			b.claim = append(b.claim, cl)
+		}
+	}
 	var due []*job
 	for _, j := range c.jobs {
-		if j.over() || (j.dirty && (j.urgent || now.Sub(j.dirtyAt) >= tuning.TickEvery)) {
+		if j.over() || (j.dirty && (j.urgent || now.Sub(j.dirtyAt) >= tuning.CompletionDelay)) {
 			due = append(due, j)
 		}
 	}
+	// Starts wait for their records, so they go first; then what users wait to
+	// be told; completions of parts of a job can wait, and a worker keeps them.
 	slices.SortFunc(due, func(x, y *job) int {
-		return cmp.Or(cmp.Compare(x.rank(), y.rank()), x.dirtyAt.Compare(y.dirtyAt), cmp.Compare(x.ref, y.ref))
+		return cmp.Or(cmp.Compare(x.writeOrder(), y.writeOrder()), x.dirtyAt.Compare(y.dirtyAt), cmp.Compare(x.ref, y.ref))
 	})
 	for _, j := range due {
+		if j.writeOrder() == writeLater {
+			spare = min(c.writes.Burst()/2, limit) // for starts that come next
+		}
 		guards := []wire.Guard{{Key: ledger.OpenKey(j.ref), Version: j.openVer}, {Key: ledger.RunKey(j.ref), Version: j.runVer}}
 		if j.over() {
 			if !add(3, 400) {
@@ -114,11 +125,7 @@
 		j.dirty, j.urgent = false, false
 	}
 	for _, cl := range c.claims {
-		switch {
-		case !cl.recorded && add(1, 200):
-			b.txn.Changes = append(b.txn.Changes, wire.Change{Set: ledger.ClaimKey(cl.Claim.Claim), Value: cl.Claim})
-			b.claim = append(b.claim, cl)
-		case cl.recorded && cl.drop && add(1, 100):
+		if cl.recorded && cl.drop && add(1, 100) {
 			b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.ClaimKey(cl.Claim.Claim)})
 			b.drop = append(b.drop, cl)
 		}
@@ -166,6 +173,7 @@
 
 func (c *Controller) onCommit(m commitMsg, now time.Time) {
 	c.inCommit = nil
+	c.changed = true
 	b := m.b
 	if m.err != nil {
 		for _, w := range b.runs {
@@ -206,6 +214,7 @@
 			if w.j.live[p.Task] == p {
 				p.Recorded = true
 				p.Machine.Outbox = append(p.Machine.Outbox, p)
+				c.touched[p.Machine] = true
 			}
 		}
 	}
@@ -219,9 +228,7 @@
 	for _, cl := range b.drop {
 		delete(c.claims, cl.Claim.Claim)
 	}
-	for _, m := range c.machines {
-		c.dispatch(m, now)
-	}
+	c.dispatchAll(now)
 }
 
 // rent makes a claim for machines; it is called once it is recorded.
@@ -255,6 +262,7 @@
 func (c *Controller) onRent(m rentMsg, now time.Time) {
 	cl := m.c
 	cl.calling = false
+	c.changed = true
 	switch {
 	case m.err == nil:
 		cl.settled, cl.hosts = true, m.hosts
@@ -336,7 +344,7 @@
 			ended = append(ended, fleet.Ended{Placement: p})
 		}
 		c.end(ended, now)
-		delete(c.machines, m.ID)
+		c.forget(m)
 		c.gone[m.ID] = now
 	}
 }
@@ -348,6 +356,7 @@
 		c.Log.Debug("machine list", "err", l.err)
 		return
 	}
+	c.changed = c.changed || !c.listed
 	c.listed = true
 	var failed []*fleet.Machine
 	seen := map[string]bool{}
@@ -397,7 +406,7 @@
 }
 
 func (c *Controller) setTypes(types []wire.MachineType) {
-	c.types = types
+	c.types, c.changed = types, true
 	c.typeIdx = make(map[string]int, len(types))
 	for i, t := range types {
 		c.typeIdx[t.Name] = i
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,8 @@
 	"errors"
 	"log/slog"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -100,6 +102,7 @@
 
 	jobs     map[string]*job
 	machines map[string]*fleet.Machine
+	sorted   []*fleet.Machine // the same, by name
 	gone     map[string]time.Time
 	claims   map[string]*claim
 	claimSeq int
@@ -120,7 +123,11 @@
 	nextList    time.Time
 	catalogAt   time.Time
 	loadedTypes bool
-	lastPass    time.Time
+	lastPass    time.Time               // when the last pass ended
+	lastRunning int                     // entries of the last snapshot's machines, for the next one's size
+	passTook    time.Duration           // how long it took
+	changed     bool                    // something that decisions depend on has changed
+	touched     map[*fleet.Machine]bool // have something to be sent
 	summarized  time.Time
 	lateLogged  time.Time
 	status      Status
@@ -145,7 +152,7 @@
 	wr := st.WriteRPS * tuning.LeaderWriteShare
 	return &Controller{
 		Deps: d, term: term, inbox: make(chan any, tuning.InboxSize),
-		jobs: map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{},
+		jobs: map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, touched: map[*fleet.Machine]bool{},
 		cardRank: -1, claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
 		est:     estimator{off: d.Config.Operator.Estimator == "user", classes: map[string]*classRuns{}},
 		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), st.TxnOps)),
@@ -232,17 +239,25 @@
 			c.onTick(now)
 		case <-passTimer.C:
 			armed = false
+			start := time.Now()
+			c.pass(start)
 			c.lastPass = time.Now()
-			c.pass(c.lastPass)
+			c.passTook = c.lastPass.Sub(start)
 			continue
 		}
-		if !armed {
+		if c.changed && !armed {
 			armed = true
-			passTimer.Reset(max(0, tuning.PassGap-time.Since(c.lastPass)))
+			passTimer.Reset(c.passGap() - time.Since(c.lastPass))
 		}
 	}
 }
 
+// passGap is the least time between two passes. It grows with what a pass
+// takes, so that decisions never starve the answers to workers.
+func (c *Controller) passGap() time.Duration {
+	return min(max(tuning.PassGap, tuning.PassPause*c.passTook), tuning.PassGapMax)
+}
+
 func (c *Controller) handle(m any) {
 	now := time.Now()
 	switch m := m.(type) {
@@ -338,6 +353,9 @@
 		j.restore(&r, ver)
 		for _, lp := range r.Live {
 			m := c.machine(lp.Machine, now)
+			if m.Zone == "" {
+				m.Zone = lp.Zone
+			}
 			p := &fleet.Placement{Key: fleet.Key{Job: ref, Task: lp.Task}, Attempt: lp.Attempt, Session: lp.Session,
 				Machine: m, Recorded: true, Sent: true, StartToken: c.token() - 1, Since: now}
 			j.live[lp.Task], m.Live[p.Key] = p, p
@@ -360,6 +378,7 @@
 	}
 	j := newJob(ref, &o, ver, now)
 	c.jobs[ref] = j
+	c.changed = true
 	c.Log.Debug("job known", "job", ref, "class", o.Job.Class, "tasks", o.Job.Tasks, "age", now.Sub(j.at))
 	if n := j.need(); n.Cards > 0 {
 		c.cardRank = max(c.cardRank, j.rank())
@@ -455,10 +474,21 @@
 		// runs: only after that its recorded tasks count as gone.
 		m = fleet.New(id, c.token(), now, c.leaseFrom(c.takeover.Add(c.grace())))
 		c.machines[id] = m
+		i, _ := slices.BinarySearchFunc(c.sorted, id, func(m *fleet.Machine, id string) int { return strings.Compare(m.ID, id) })
+		c.sorted = slices.Insert(c.sorted, i, m)
+		c.changed = true
 	}
 	return m
 }
 
+// forget drops a machine that was given back.
+func (c *Controller) forget(m *fleet.Machine) {
+	delete(c.machines, m.ID)
+	delete(c.touched, m)
+	c.sorted = slices.DeleteFunc(c.sorted, func(o *fleet.Machine) bool { return o == m })
+	c.changed = true
+}
+
 func (c *Controller) onHello(r *wire.Report, now time.Time) *wire.HelloReply {
 	if r.Token>>tuning.BatonShift > c.term.N {
 		c.Log.Info("a worker has seen a newer term", "machine", r.Machine)
@@ -486,6 +516,9 @@
 	if !fresh {
 		return
 	}
+	if usable := m.Usable(now, c.silence()); usable != m.WasUsable {
+		m.WasUsable, c.changed = usable, true
+	}
 	if !wasUp {
 		m.IdleSince, m.CardsIdle = now, now
 		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
@@ -503,8 +536,9 @@
 // orders are the stops and reaps due at a machine. Both may be repeated.
 func (c *Controller) orders(m *fleet.Machine) []wire.Order {
 	out := []wire.Order{}
-	for _, t := range m.Reported {
-		k, ok := parseTask(t.Task)
+	for i := range m.Reported {
+		t := &m.Reported[i]
+		k, ok := t.Of, t.OK
 		p := m.Live[k]
 		j := c.jobs[k.Job]
 		switch {
@@ -528,6 +562,7 @@
 // end draws the conclusions from placements that are over.
 func (c *Controller) end(ended []fleet.Ended, now time.Time) {
 	for _, e := range ended {
+		c.changed = true
 		p := e.Placement
 		p.Machine.Drop(p, now)
 		j := c.jobs[p.Job]
@@ -583,10 +618,13 @@
 		return
 	}
 	p.Stopping, p.Grace, p.StopAt = true, graceS, now
+	c.touched[p.Machine] = true
+	c.changed = true
 }
 
 // unplace takes back a placement whose start was never sent.
 func (c *Controller) unplace(p *fleet.Placement, now time.Time) {
+	c.changed = true
 	p.Machine.Drop(p, now)
 	if j := c.jobs[p.Job]; j != nil && j.live[p.Task] == p {
 		delete(j.live, p.Task)
@@ -604,6 +642,7 @@
 func (c *Controller) cancelJob(j *job, now time.Time) {
 	c.Log.Info("job cancelled", "job", j.ref, "live", len(j.live))
 	j.cancelled = true
+	c.changed = true
 	for _, p := range j.live {
 		c.stop(p, 0, now)
 	}
@@ -680,6 +719,7 @@
 
 func (c *Controller) onDo(d doMsg, now time.Time) {
 	d.m.Answered(d.starts, d.err == nil)
+	c.touched[d.m] = true
 	if d.err != nil {
 		// The commands may still be executed, even minutes later.
 		c.Log.Info("direct command unanswered", "machine", d.m.ID, "err", d.err)
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -74,6 +74,31 @@
 	return j.desc.Tasks - j.nDone - len(j.live)
 }
 
+// begun tells whether all tasks have been started once, a gang's or service's
+// if they are on machines.
+func (j *job) begun() bool {
+	if j.desc.Shape == wire.Array {
+		return j.cursor >= j.desc.Tasks
+	}
+	return len(j.live) >= j.desc.Tasks
+}
+
+// writeLater is the order of records that hold completions only.
+const writeLater = 10
+
+// writeOrder is the order in which records are written, the lowest first.
+func (j *job) writeOrder() int {
+	switch {
+	case j.over():
+		return 1
+	case !j.urgent:
+		return writeLater
+	case j.rank() == 0:
+		return 0
+	}
+	return 1 + j.rank()
+}
+
 func (j *job) over() bool { return len(j.live) == 0 && (j.cancelled || j.nDone >= j.desc.Tasks) }
 
 func (j *job) take() int {
@@ -99,7 +124,11 @@
 		r.Done = ledger.Ranges{}
 	}
 	for n, p := range j.live {
-		r.Live = append(r.Live, ledger.Placement{Task: n, Attempt: p.Attempt, Machine: p.Machine.ID, Session: p.Session})
+		lp := ledger.Placement{Task: n, Attempt: p.Attempt, Machine: p.Machine.ID, Session: p.Session}
+		if j.desc.Spread || j.desc.OneZone {
+			lp.Zone = p.Machine.Zone
+		}
+		r.Live = append(r.Live, lp)
 	}
 	slices.SortFunc(r.Live, func(a, b ledger.Placement) int { return a.Task - b.Task })
 	return r
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -48,8 +48,13 @@
 		}
 		c.drain(m, now)
 		c.greet(m, now)
-		c.dispatch(m, now)
+		if len(m.Outbox) > 0 {
+			c.touched[m] = true
+		}
 	}
+	c.dispatchAll(now)
+	// Slack is spent and idle machines age by time alone.
+	c.changed = true
 	c.giveBack(lost, "silent, taken or faulty")
 	c.giveBack(stuck, "never came up")
 	if !c.listing && now.After(c.nextList) {
@@ -139,13 +144,22 @@
 	if c.loadedTypes && now.Sub(c.confirmed()) < tuning.StartAuthority {
 		c.decide(now)
 	}
+	c.changed = false
 	c.commit(now)
-	for _, m := range c.machines {
-		c.dispatch(m, now)
-	}
+	c.dispatchAll(now)
 	c.callClaims(now)
 }
 
+// dispatchAll sends what is due to the machines for which there is something.
+func (c *Controller) dispatchAll(now time.Time) {
+	for m := range c.touched {
+		if !m.InFlight {
+			delete(c.touched, m)
+			c.dispatch(m, now)
+		}
+	}
+}
+
 func (c *Controller) decide(now time.Time) {
 	snap, jobs, machines := c.snapshot(now)
 	plan := sched.Decide(snap)
@@ -182,7 +196,21 @@
 			}
 		}
 	}
+	// One call at a time for an offer: what is asked for meanwhile goes into the
+	// next together. A claim for each small need would queue at the cloud for
+	// half a minute and take the writes from the starts.
+	asked := map[offer]bool{}
+	for _, cl := range c.claims {
+		if !cl.settled {
+			asked[offer{cl.Type, cl.Zone, cl.Spot}] = true
+		}
+	}
 	for _, r := range plan.Rents {
+		if o := (offer{snap.Types[r.Type].Name, r.Zone, r.Spot}); asked[o] || len(asked) >= tuning.OffersAtOnce {
+			continue
+		} else {
+			asked[o] = true
+		}
 		c.rent(snap.Types[r.Type].Name, r.Zone, r.Spot, r.Count, now)
 	}
 	var back []*fleet.Machine
@@ -197,12 +225,17 @@
 }
 
 // dueIn is the time until D_k and the latest moment for the first start, if an
-// objective sets one, in seconds.
-func (c *Controller) dueIn(j *job, est float64, guaranteed bool, now time.Time) float64 {
+// objective sets one, in seconds, and whether it is an aim on the start, which
+// counts tasks.
+func (c *Controller) dueIn(j *job, est float64, guaranteed bool, now time.Time) (due float64, onStart bool) {
 	age := now.Sub(j.at).Seconds()
-	var dues []float64
+	type aim struct {
+		s       float64
+		onStart bool
+	}
+	var dues []aim
 	if j.desc.DeadlineS > 0 {
-		dues = append(dues, j.desc.DeadlineS)
+		dues = append(dues, aim{j.desc.DeadlineS, false})
 	}
 	for _, o := range c.Config.Deployment.Objectives {
 		if o.WithinS <= 0 || (o.Class != j.desc.Class && o.Kind != "guarantee") {
@@ -210,28 +243,41 @@
 		}
 		switch {
 		case o.Kind == "finished":
-			dues = append(dues, o.WithinS)
+			dues = append(dues, aim{o.WithinS, false})
 		case o.Kind == "wait" && len(j.live) == 0, o.Kind == "guarantee" && guaranteed && len(j.live) == 0:
-			dues = append(dues, o.WithinS+est)
+			dues = append(dues, aim{o.WithinS + est, o.Kind == "wait"})
 		}
 	}
 	if len(dues) == 0 {
-		dues = append(dues, c.Config.Operator.DeadlineFactor*est)
+		dues = append(dues, aim{c.Config.Operator.DeadlineFactor * est, false})
 	}
 	// The earliest that can still be kept; a job that has missed all of them
 	// is held to the last.
-	slices.Sort(dues)
+	slices.SortStableFunc(dues, func(a, b aim) int { return cmp.Compare(a.s, b.s) })
 	for _, d := range dues {
-		if d-age >= est {
-			return d - age
+		if d.s-age >= est {
+			return d.s - age, d.onStart
+		}
+	}
+	last := dues[len(dues)-1]
+	return last.s - age, last.onStart
+}
+
+// mayWait is how long a job of a class may wait for its first start, in seconds,
+// before it goes first: early enough that room for it falls free in time.
+func (c *Controller) mayWait(class string) float64 {
+	wait := tuning.OverdueAfter
+	for _, o := range c.Config.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			wait = min(wait, max(o.WithinS*tuning.OverdueAim, tuning.OverdueLeast))
 		}
 	}
-	return dues[len(dues)-1] - age
+	return wait
 }
 
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
 	op := c.Config.Operator
-	s := &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor, Refused: map[sched.Offer]bool{}}
+	s := &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor, OverdueShare: tuning.OverdueShare, Refused: map[sched.Offer]bool{}}
 	for _, t := range c.types {
 		s.Types = append(s.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
 			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
@@ -241,7 +287,7 @@
 		teamIdx[t.Name] = i
 		s.Teams = append(s.Teams, sched.Team{Max: sched.Res{Cores: t.CoresMax, Cards: t.CardsMax}})
 	}
-	var jobs []*job
+	jobs := make([]*job, 0, len(c.jobs))
 	for _, j := range c.jobs {
 		if _, ok := teamIdx[j.desc.Team]; ok {
 			jobs = append(jobs, j)
@@ -253,8 +299,18 @@
 		}
 		return strings.Compare(a.ref, b.ref)
 	})
+	wait := map[string]float64{}
+	waits := func(class string) float64 {
+		w, ok := wait[class]
+		if !ok {
+			w = c.mayWait(class)
+			wait[class] = w
+		}
+		return w
+	}
 	demand := make([]sched.Res, len(s.Teams))
 	jobIdx := make(map[string]int, len(jobs))
+	s.Jobs = make([]sched.Job, 0, len(jobs))
 	for i, j := range jobs {
 		ti := teamIdx[j.desc.Team]
 		need := j.need()
@@ -268,7 +324,14 @@
 		est := c.est.of(&j.desc)
 		sj := sched.Job{Ref: j.ref, Desc: &j.desc, Need: need, Rank: j.rank(), Guaranteed: guaranteed, EstimateS: est,
 			Waiting: j.waiting(), Live: len(j.live), Team: ti, Resting: now.Before(j.restUntil),
-			DueS: c.dueIn(j, est, guaranteed, now), ZoneLive: map[string]int{}}
+			Counts: 1}
+		var onStart bool
+		if sj.DueS, onStart = c.dueIn(j, est, guaranteed, now); onStart {
+			sj.Counts = float64(j.desc.Tasks)
+		}
+		if !j.begun() {
+			sj.OverdueS = max(0, now.Sub(j.at).Seconds()-waits(j.desc.Class))
+		}
 		if room := c.maxLive - len(j.live); sj.Waiting > room {
 			// More would not fit into the run record, and a gang starts whole.
 			sj.Waiting = max(0, room)
@@ -276,18 +339,22 @@
 				sj.Waiting = 0
 			}
 		}
-		for _, p := range j.live {
-			sj.ZoneLive[p.Machine.Zone]++
+		if sj.Waiting > 0 && (j.desc.Spread || j.desc.OneZone) {
+			sj.ZoneLive = map[string]int{}
+			for _, p := range j.live {
+				sj.ZoneLive[p.Machine.Zone]++
+			}
 		}
 		s.Teams[ti].Used = s.Teams[ti].Used.Sub(need, -len(j.live))
 		jobIdx[j.ref] = i
 		s.Jobs = append(s.Jobs, sj)
 	}
 	silence := c.silence()
-	var machines []*fleet.Machine
+	machines := make([]*fleet.Machine, 0, len(c.sorted))
+	s.Machines = make([]sched.Machine, 0, len(c.sorted))
+	arena := make([]sched.Running, 0, c.lastRunning+len(c.sorted))
 	unsettled := 0
-	for _, id := range slices.Sorted(maps.Keys(c.machines)) {
-		m := c.machines[id]
+	for _, m := range c.sorted {
 		ti, ok := c.typeIdx[m.Type]
 		if !ok {
 			continue
@@ -299,7 +366,7 @@
 		if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
 			unsettled++
 		}
-		per := map[int]*sched.Running{}
+		first := len(arena)
 		for k, p := range m.Live {
 			ji, ok := jobIdx[k.Job]
 			if !ok {
@@ -307,11 +374,12 @@
 				continue
 			}
 			sm.Free = sm.Free.Sub(s.Jobs[ji].Need, 1)
-			r := per[ji]
-			if r == nil {
-				r = &sched.Running{Job: ji, Stopping: true}
-				per[ji] = r
+			ri := slices.IndexFunc(arena[first:], func(r sched.Running) bool { return r.Job == ji })
+			if ri < 0 {
+				ri = len(arena) - first
+				arena = append(arena, sched.Running{Job: ji, Stopping: true})
 			}
+			r := &arena[first+ri]
 			r.Count++
 			r.Stopping = r.Stopping && p.Stopping
 			r.LeftS = max(r.LeftS, s.Jobs[ji].EstimateS)
@@ -324,13 +392,12 @@
 				r.LostS += lost
 			}
 		}
-		for _, r := range per {
-			sm.Tasks = append(sm.Tasks, *r)
-		}
-		sm.HasImage = cachedOn(m, s.Jobs)
+		sm.Tasks = arena[first:len(arena):len(arena)]
+		sm.Images = m.Images()
 		s.Machines = append(s.Machines, sm)
 		machines = append(machines, m)
 	}
+	c.lastRunning = len(arena)
 	for _, cl := range c.claims {
 		// Asked for and not answered: this room counts as coming.
 		if ti, ok := c.typeIdx[cl.Type]; ok && !cl.settled {
@@ -352,14 +419,3 @@
 	s.MayReturn = c.listed && settledIn
 	return s, jobs, machines
 }
-
-// cachedOn tells which of the images that matter in this pass a machine has.
-func cachedOn(m *fleet.Machine, jobs []sched.Job) map[string]bool {
-	out := map[string]bool{}
-	for k := range jobs {
-		if name := jobs[k].Desc.Image; jobs[k].Waiting > 0 && m.HasImage(name) {
-			out[name] = true
-		}
-	}
-	return out
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,13 +60,23 @@
 	InFlight     bool      // a direct command is under way
 	Alien        int       // reported tasks that we have no record of and that still run
 	Faulty       bool
+	WasUsable    bool // as last looked at
 
 	Live     map[Key]*Placement
-	Reported []wire.TaskReport
+	Reported []Reported
 	Outbox   []*Placement       // recorded, to be sent
+	matched  bool               // the newest report lists just what is live, and nothing of it has changed since
 	started  map[attempt]uint64 // tokens of the starts of what is listed or live
 	failed   map[string]bool
 	images   []image // most recent first
+	names    []string
+}
+
+// Reported is a task in a worker's newest report.
+type Reported struct {
+	wire.TaskReport
+	Of Key
+	OK bool // its name could be read
 }
 
 type attempt struct {
@@ -91,6 +101,7 @@
 
 // Start notes that a placement's start is about to be sent.
 func (m *Machine) Start(p *Placement) {
+	m.matched = false
 	p.Sent, p.StartToken = true, m.Token
 	m.started[attempt{p.Key, p.Attempt}] = m.Token
 }
@@ -126,6 +137,7 @@
 		return nil, false
 	}
 	newSession := r.Session > m.Session
+	same := !newSession && m.matched && r.Token == m.Shown && m.sameTasks(r.Tasks)
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
 	m.Session, m.Seq, m.Up, m.LastReport = r.Session, r.Seq, true, now
 	m.Shown = max(m.Shown, r.Token)
@@ -134,6 +146,9 @@
 	} else {
 		m.NoticeEnd = time.Time{}
 	}
+	if same {
+		return nil, true // most reports: hundreds a second at a large site
+	}
 	if newSession {
 		// A higher tenure proves that all of the earlier ones' tasks are gone
 		// and that commands still under way for them will be refused.
@@ -142,7 +157,7 @@
 				ended = append(ended, Ended{Placement: p})
 			}
 		}
-		m.images = nil
+		m.images, m.names = nil, nil
 		// The lease of a new session counts from its beginning. Without this a
 		// worker that was reached by direct commands only had its new session
 		// taken for over with the old one, and its tasks were started twice.
@@ -150,12 +165,14 @@
 			m.LeaseEnd = leaseEnd
 		}
 	}
-	m.Reported = r.Tasks
+	m.Reported = make([]Reported, len(r.Tasks))
 	m.Alien = 0
+	m.matched = true
 	shown := make(map[Key]*wire.TaskReport, len(r.Tasks))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		k, ok := parse(t.Task)
+		m.Reported[i] = Reported{*t, k, ok}
 		p := m.Live[k]
 		if ok && p != nil && p.Attempt == t.Attempt && p.Session == r.Session {
 			shown[k] = t
@@ -181,12 +198,13 @@
 		case p.Sent && !m.InFlight && m.Shown > p.StartToken:
 			// Absent: proof only once no start of it can arrive any more.
 			ended = append(ended, Ended{Placement: p})
+		default:
+			m.matched = false // its absence may come to prove something
 		}
 	}
 	for a := range m.started {
-		if m.Live[a.Key] == nil && !slices.ContainsFunc(r.Tasks, func(t wire.TaskReport) bool {
-			k, ok := parse(t.Task)
-			return ok && k == a.Key && t.Attempt == a.n
+		if m.Live[a.Key] == nil && !slices.ContainsFunc(m.Reported, func(t Reported) bool {
+			return t.OK && t.Of == a.Key && t.Attempt == a.n
 		}) {
 			delete(m.started, a)
 		}
@@ -194,6 +212,10 @@
 	return ended, true
 }
 
+func (m *Machine) sameTasks(ts []wire.TaskReport) bool {
+	return slices.EqualFunc(m.Reported, ts, func(a Reported, b wire.TaskReport) bool { return a.TaskReport == b })
+}
+
 // Lapse ends everything of a session whose lease is surely over.
 func (m *Machine) Lapse(now time.Time) (ended []Ended) {
 	if !now.After(m.LeaseEnd) {
@@ -210,6 +232,7 @@
 // Drop forgets a placement that is over.
 func (m *Machine) Drop(p *Placement, now time.Time) {
 	if m.Live[p.Key] == p {
+		m.matched = false
 		delete(m.Live, p.Key)
 		if len(m.Live) == 0 {
 			m.IdleSince = now
@@ -240,6 +263,9 @@
 // TouchImage notes that an image is on the machine, and forgets the least
 // recently used ones beyond the cache's size.
 func (m *Machine) TouchImage(name string, gb, cacheGB float64) {
+	if len(m.images) > 0 && m.images[0].name == name {
+		return
+	}
 	kept := append(make([]image, 0, len(m.images)+1), image{name, gb})
 	sum := gb
 	for _, im := range m.images {
@@ -249,14 +275,12 @@
 		}
 	}
 	m.images = kept
-}
-
-// HasImage tells whether an image is believed to be cached.
-func (m *Machine) HasImage(name string) bool {
-	for _, im := range m.images {
-		if im.name == name {
-			return true
-		}
+	m.names = make([]string, len(kept))
+	for i := range kept {
+		m.names[i] = kept[i].name
 	}
-	return false
 }
+
+// Images names the images that are believed to be cached. The result is not
+// changed later.
+func (m *Machine) Images() []string { return m.names }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -58,6 +58,9 @@
 	Attempt  uint64
 	Machine  string
 	Session  uint64
+	// Zone is set where the job has conditions on zones: a new leader may not
+	// know the machine's yet, and must count the task where it is.
+	Zone string
 }
 
 // Run is what was done about an open job. Live holds every task that may be on
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -4,8 +4,11 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"marblehaven/internal/wire"
 )
@@ -68,15 +71,17 @@
 	Zone      string
 	Spot      bool
 	Free      Res
-	Ready     bool            // may be given work now
-	Coming    bool            // boots: its room counts as coming
-	Empty     bool            // nothing may be on it
-	IdleS     float64         // how long it has been empty
-	CardIdleS float64         // with cards: how long none of them has been in use
-	HasImage  map[string]bool // nil: none
+	Ready     bool     // may be given work now
+	Coming    bool     // boots: its room counts as coming
+	Empty     bool     // nothing may be on it
+	IdleS     float64  // how long it has been empty
+	CardIdleS float64  // with cards: how long none of them has been in use
+	Images    []string // that it has
 	Tasks     []Running
 }
 
+func (m *Machine) has(image string) bool { return slices.Contains(m.Images, image) }
+
 // Job is a job with tasks waiting.
 type Job struct {
 	Ref        string
@@ -91,6 +96,8 @@
 	ZoneLive   map[string]int
 	Resting    bool // backs off after failures
 	Team       int
+	Counts     float64 // what being in time counts: 1, or the tasks where an aim counts these
+	OverdueS   float64 // how long it has waited beyond what any may
 }
 
 // Team is a team's use and its limit; a limit of 0 is none.
@@ -116,6 +123,9 @@
 	GiveBack  float64 // see giveBack
 	MayRent   bool
 	MayReturn bool
+	// OverdueShare is the part of the held machines that may be kept for what
+	// has waited too long.
+	OverdueShare float64
 	// CardRank is the lowest rank of the work with cards that has been seen, -1
 	// if there was none; CardNeed is the most that a task of it takes.
 	CardRank int
@@ -145,27 +155,33 @@
 }
 
 // Order sorts job indices by who is served first: player-facing production
-// work, then work within a guarantee, then rank. Among equals the earliest
-// deadline goes first, but where not all can be in time, the jobs that take the
-// most room go behind the others, so that the most jobs are (Moore's rule).
+// work, then what has waited too long, then work within a guarantee, then rank.
+// Among equals the earliest deadline goes first, but where not all can be in
+// time, the jobs that take the most room for what they count go behind the
+// others, so that the most are (Moore's rule).
 func Order(s *Snapshot) []int {
 	idx := make([]int, len(s.Jobs))
 	for i := range idx {
 		idx[i] = i
 	}
+	cores, cards := held(s)
+	first := promoted(s, cores, cards)
 	group := func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
 		return cmp.Or(
 			cmpBool(x.Rank == 0, y.Rank == 0),
+			cmpBool(first[a], first[b]),
 			cmpBool(x.Guaranteed, y.Guaranteed),
 			cmp.Compare(x.Rank, y.Rank),
 			cmpBool(x.Need.Cards > 0, y.Need.Cards > 0))
 	}
 	slices.SortStableFunc(idx, func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
+		if first[a] && first[b] {
+			return cmp.Or(cmpBool(x.Rank == 0, y.Rank == 0), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
+		}
 		return cmp.Or(group(a, b), cmp.Compare(x.DueS, y.DueS), cmp.Compare(x.Ref, y.Ref))
 	})
-	cores, cards := held(s)
 	load := 0.0 // time that the held machines need for what goes before
 	loadCards := 0.0
 	for i := 0; i < len(idx); {
@@ -174,15 +190,46 @@
 			n++
 		}
 		if s.Jobs[idx[i]].Need.Cards > 0 {
-			loadCards = inTime(s, idx[i:n], loadCards, func(j *Job) float64 { return j.work(j.Need.Cards) / math.Max(cards, 1) })
+			loadCards = inTime(s, idx[i:n], loadCards, first[idx[i]], func(j *Job) float64 { return j.work(j.Need.Cards) / math.Max(cards, 1) })
 		} else {
-			load = inTime(s, idx[i:n], load, func(j *Job) float64 { return j.work(j.Need.Cores) / math.Max(cores, 1) })
+			load = inTime(s, idx[i:n], load, first[idx[i]], func(j *Job) float64 { return j.work(j.Need.Cores) / math.Max(cores, 1) })
 		}
 		i = n
 	}
 	return idx
 }
 
+// promoted picks the jobs that have waited too long, the longest first, as long
+// as what waits of them fits into a part of the held machines: without the bound
+// an overload would turn all into a queue in which everything is late.
+func promoted(s *Snapshot, cores, cards float64) []bool {
+	first := make([]bool, len(s.Jobs))
+	var old []int
+	for i := range s.Jobs {
+		if j := &s.Jobs[i]; j.OverdueS > 0 && j.Waiting > 0 && !j.Resting && j.Rank > 0 {
+			old = append(old, i)
+		}
+	}
+	slices.SortFunc(old, func(a, b int) int {
+		return cmp.Or(cmp.Compare(s.Jobs[b].OverdueS, s.Jobs[a].OverdueS), cmp.Compare(s.Jobs[a].Ref, s.Jobs[b].Ref))
+	})
+	leftCores, leftCards := cores*s.OverdueShare, cards*s.OverdueShare
+	anyCores, anyCards := false, false
+	for _, i := range old {
+		j := &s.Jobs[i]
+		n := float64(j.Waiting)
+		left, some, need := &leftCores, &anyCores, j.Need.Cores
+		if j.Need.Cards > 0 {
+			left, some, need = &leftCards, &anyCards, j.Need.Cards
+		}
+		if !*some || need*n <= *left {
+			first[i], *some = true, true
+			*left -= need * n
+		}
+	}
+	return first
+}
+
 // work is what is left to do of the job, in need times seconds.
 func (j *Job) work(need float64) float64 {
 	return (float64(j.Waiting) + float64(j.Live)/2) * j.EstimateS * need
@@ -205,33 +252,68 @@
 }
 
 // inTime puts the jobs of a group that can be in time first, in the order they
-// are given, then the others, the smallest first. It returns the load after it.
-func inTime(s *Snapshot, idx []int, load float64, takes func(*Job) float64) float64 {
-	var first, later []int
-	for _, ji := range idx {
-		first = append(first, ji)
-		load += takes(&s.Jobs[ji])
-		if load+s.Jobs[ji].EstimateS <= s.Jobs[ji].DueS {
+// are given, then the others, the smallest for what it counts first. It returns
+// the load after it. Where the order is fixed nothing is put behind.
+func inTime(s *Snapshot, idx []int, load float64, fixed bool, takes func(*Job) float64) float64 {
+	by := make(largest, 0, len(idx))
+	late := make([]bool, len(idx))
+	var later []int
+	for k, ji := range idx {
+		j := &s.Jobs[ji]
+		t := takes(j)
+		load += t
+		if fixed {
 			continue
 		}
-		big := 0
-		for k := range first {
-			if takes(&s.Jobs[first[k]]) > takes(&s.Jobs[first[big]]) {
-				big = k
-			}
+		heap.Push(&by, sized{k, t, t / math.Max(j.Counts, 1)})
+		if load+j.EstimateS <= j.DueS {
+			continue
 		}
-		load -= takes(&s.Jobs[first[big]])
-		later = append(later, first[big])
-		first = slices.Delete(first, big, big+1)
+		big := heap.Pop(&by).(sized)
+		load -= big.takes
+		late[big.k] = true
+		later = append(later, big.k)
 	}
-	slices.SortStableFunc(later, func(a, b int) int { return cmp.Compare(takes(&s.Jobs[a]), takes(&s.Jobs[b])) })
-	copy(idx, append(first, later...))
-	for _, ji := range later {
-		load += takes(&s.Jobs[ji])
+	if len(later) == 0 {
+		return load
+	}
+	per := func(k int) float64 { j := &s.Jobs[idx[k]]; return takes(j) / math.Max(j.Counts, 1) }
+	slices.SortFunc(later, func(a, b int) int { return cmp.Or(cmp.Compare(per(a), per(b)), cmp.Compare(a, b)) })
+	out := make([]int, 0, len(idx))
+	for k, ji := range idx {
+		if !late[k] {
+			out = append(out, ji)
+		}
 	}
+	for _, k := range later {
+		out = append(out, idx[k])
+		load += takes(&s.Jobs[idx[k]])
+	}
+	copy(idx, out)
 	return load
 }
 
+// sized is the k-th job of a group with its load, in all and for each that
+// counts; largest is a heap with the largest, and of equals the last, on top.
+type sized struct {
+	k          int
+	takes, per float64
+}
+
+type largest []sized
+
+func (l largest) Len() int { return len(l) }
+func (l largest) Less(a, b int) bool {
+	return l[a].per > l[b].per || (l[a].per == l[b].per && l[a].k > l[b].k)
+}
+func (l largest) Swap(a, b int) { l[a], l[b] = l[b], l[a] }
+func (l *largest) Push(x any)   { *l = append(*l, x.(sized)) }
+func (l *largest) Pop() any {
+	x := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return x
+}
+
 func cmpBool(x, y bool) int {
 	switch {
 	case x == y:
@@ -279,7 +361,9 @@
 		}
 	}
 	if d.Spread {
-		return max(0, (d.Tasks+1)/2-zoneLive[zone])
+		// A task on a machine whose zone is not known yet, as after a takeover,
+		// may be in any.
+		return max(0, (d.Tasks+1)/2-zoneLive[zone]-zoneLive[""])
 	}
 	return d.Tasks
 }
@@ -290,16 +374,68 @@
 	// pool is the machines with what this plan puts on them, and what it rents.
 	pool []Machine
 	// place in the order of each job: what comes before is never stopped.
-	pos       []int
+	pos []int
+	// open lists the machines, of the pool, that have room for something that
+	// waits; victims those with work that could be stopped for production or
+	// for work with cards.
+	open, victims []int
+	kept          []int // machines kept free for gangs that have waited too long
+	// full remembers which kinds of tasks found no more room: room only shrinks
+	// within a plan, so like tasks need not look again.
+	full      map[kindOfTask]bool
 	cardWaits bool // work with cards waits
 	// cardFree is when each held machine's card work is likely to end, seconds
 	// from now, with the waiting work that was counted against it.
 	cardFree []float64
 }
 
+// kindOfTask is what the search for room depends on. Only kinds without
+// conditions on zones and numbers are remembered.
+type kindOfTask struct {
+	need    Res
+	types   string
+	spot    bool
+	rank    int
+	service bool
+	kind    int
+	image   string
+}
+
+func (p *planner) kind(j *Job, kind int, plain bool) (kindOfTask, bool) {
+	d := j.Desc
+	if d.OneZone || d.Spread || d.Zone != "" || !plain {
+		return kindOfTask{}, false
+	}
+	k := kindOfTask{need: j.Need, types: strings.Join(d.Types, " "), spot: d.Spot, rank: j.Rank, service: d.Shape == wire.Service, kind: kind}
+	if kind == cached {
+		k.image = d.Image
+	}
+	return k, true
+}
+
+// index finds the machines that matter to this plan.
+func (p *planner) index() {
+	least := Res{math.Inf(1), math.Inf(1), math.Inf(1)}
+	for i := range p.s.Jobs {
+		if j := &p.s.Jobs[i]; j.Waiting > 0 && !j.Resting {
+			least = Res{math.Min(least.Cores, j.Need.Cores), math.Min(least.Cards, j.Need.Cards), math.Min(least.Mem, j.Need.Mem)}
+		}
+	}
+	for i := range p.pool {
+		m := &p.pool[i]
+		if (m.Ready || m.Coming) && m.Free.Cores >= least.Cores-eps && m.Free.Cards >= least.Cards-eps && m.Free.Mem >= least.Mem-eps {
+			p.open = append(p.open, i)
+		}
+		if m.Ready && slices.ContainsFunc(m.Tasks, func(r Running) bool { return p.s.Jobs[r.Job].Rank > 0 }) {
+			p.victims = append(p.victims, i)
+		}
+	}
+}
+
 // Decide makes the plan.
 func Decide(s *Snapshot) Plan {
-	p := &planner{s: s, pool: slices.Clone(s.Machines)}
+	p := &planner{s: s, pool: slices.Clone(s.Machines), full: map[kindOfTask]bool{}}
+	p.index()
 	taken := make([]bool, len(s.Machines))
 	var ahead, aheadCards float64
 	heldCores, heldCards := held(s)
@@ -338,9 +474,6 @@
 		// Held machines first (P1): least price times estimate.
 		got := p.place(ji, n, zones, keepOff, gang, ready)
 		teams[j.Team].Used = teams[j.Team].Used.Sub(j.Need, -got)
-		for _, st := range p.plan.Starts {
-			taken[st.Machine] = true
-		}
 		n -= got
 		if n == 0 {
 			continue
@@ -361,7 +494,12 @@
 		if j.Rank == 0 || j.Need.Cards > 0 {
 			n -= p.makeRoom(ji, n, zones, keepOff, false)
 		}
-		n -= p.place(ji, n, zones, keepOff, gang, coming)
+		in := "" // where the gang gathers
+		if gang {
+			in, n = p.gather(ji, n, keepOff)
+		} else {
+			n -= p.place(ji, n, zones, keepOff, gang, coming)
+		}
 		if slack > 0 || n == 0 {
 			continue
 		}
@@ -371,9 +509,15 @@
 		// This holds for work with cards, whose machines are dear and take one
 		// task each; small work is spread over all that can be had.
 		if s.MayRent && (j.Need.Cards == 0 || p.cardWait(j, n) > boot) {
-			p.rent(ji, n, zones, keepOff, gang)
+			p.rent(ji, n, zones, keepOff, in)
 		}
 	}
+	for _, st := range p.plan.Starts {
+		taken[st.Machine] = true
+	}
+	for _, i := range p.kept {
+		taken[i] = true
+	}
 	if s.MayReturn {
 		for i := range s.Machines {
 			m := &s.Machines[i]
@@ -510,6 +654,8 @@
 	ready  = iota
 	cached // ready, and the image is there
 	coming // not up yet: tasks are only counted against their room
+	// stopping: room that is made by stopping lower work
+	stopping
 )
 
 // place puts up to n tasks on machines of the kind and returns how many found
@@ -524,10 +670,14 @@
 		m, room    int
 		cost, left float64
 	}
+	sig, like := p.kind(j, kind, !gang)
+	if like && p.full[sig] {
+		return 0
+	}
 	var cands []cand
-	for i := range p.pool {
+	for _, i := range p.open {
 		m := &p.pool[i]
-		if (kind == coming && !m.Coming) || (kind != coming && !m.Ready) || (kind == cached && !m.HasImage[d.Image]) || !p.allowed(m, d) {
+		if (kind == coming && !m.Coming) || (kind != coming && !m.Ready) || !p.allowed(m, d) || (kind == cached && !m.has(d.Image)) {
 			continue
 		}
 		room := p.room(m, j, keepOff)
@@ -536,7 +686,7 @@
 		}
 		t := &p.s.Types[m.Type]
 		est := j.EstimateS
-		if !m.HasImage[d.Image] {
+		if !m.has(d.Image) {
 			est += fetchS(t, d)
 		}
 		share := 1 / float64(max(1, t.Total.Slots(j.Need)))
@@ -588,6 +738,9 @@
 			}
 		}
 	}
+	if like && got < n {
+		p.full[sig] = true
+	}
 	if gang && got < n {
 		return 0
 	}
@@ -603,6 +756,83 @@
 	return got
 }
 
+// gather looks for the zone in which the most room for a gang is free or coming,
+// and returns it with the number of tasks that find none there. What is coming
+// is counted against the gang. If the gang has waited too long, what is free and
+// coming is kept for it: otherwise smaller ones take every machine that falls
+// free, and it never starts (all its machines must be free at once).
+const anywhere = "" // of a gang without need for one zone
+
+func (p *planner) gather(ji, n int, keepOff bool) (zone string, missing int) {
+	j := &p.s.Jobs[ji]
+	d := j.Desc
+	free, comes, whole := map[string]int{}, map[string]int{}, map[string]int{}
+	key := func(m *Machine) string {
+		if d.OneZone {
+			return m.Zone
+		}
+		return anywhere
+	}
+	for i := range p.pool {
+		m := &p.pool[i]
+		if !p.allowed(m, d) || ZoneRoom(d, nil, m.Zone) == 0 || (keepOff && p.s.Types[m.Type].Total.Cards > 0) {
+			continue
+		}
+		whole[key(m)] += p.s.Types[m.Type].Total.Slots(j.Need)
+		switch {
+		case m.Ready:
+			free[key(m)] += m.Free.Slots(j.Need)
+		case m.Coming:
+			comes[key(m)] += m.Free.Slots(j.Need)
+		}
+	}
+	// Where the machines are too few for all of it, there must be more to rent.
+	can := map[string]bool{}
+	for z, k := range whole {
+		can[z] = k >= n
+	}
+	for ti := range p.s.Types {
+		t := &p.s.Types[ti]
+		if !TypeFits(t, d) || (keepOff && t.Total.Cards > 0) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if !p.s.Refused[Offer{ti, z, false}] || (d.Spot && !p.s.Refused[Offer{ti, z, true}]) {
+				can[key(&Machine{Zone: z})] = true
+			}
+		}
+	}
+	best := -1
+	for _, z := range slices.Sorted(maps.Keys(can)) {
+		if got := min(n, free[z]+comes[z]); can[z] && (z == anywhere || ZoneRoom(d, nil, z) > 0) && (got > best || (got == best && whole[z] > whole[zone])) {
+			zone, best = z, got
+		}
+	}
+	if best <= 0 {
+		return "", n
+	}
+	keep := j.OverdueS > 0
+	left := n
+	for i := range p.pool {
+		m := &p.pool[i]
+		if left == 0 {
+			break
+		}
+		if key(m) != zone || !(m.Ready || m.Coming) || !p.allowed(m, d) || ZoneRoom(d, nil, m.Zone) == 0 || (keepOff && p.s.Types[m.Type].Total.Cards > 0) {
+			continue
+		}
+		k := min(left, m.Free.Slots(j.Need))
+		if m.Coming || keep {
+			m.Free = m.Free.Sub(j.Need, k)
+		}
+		if k > 0 && m.Ready && keep {
+			p.kept = append(p.kept, i)
+		}
+		left -= k
+	}
+	return zone, left
+}
+
 // makeRoom stops the work of lower rank on the machine where the least of it
 // is lost. What is already stopping counts as room to come. It returns for
 // how many tasks there will be room.
@@ -611,49 +841,66 @@
 	if j.Desc.Shape == wire.Gang && n > 1 {
 		return 0 // a gang starts whole: room for a part of it is of no use
 	}
-	for made := 0; ; made++ {
-		if made == n {
-			return made
+	if n == 0 {
+		return 0
+	}
+	sig, like := p.kind(j, stopping, true)
+	if cached {
+		like = false
+	}
+	if like && p.full[sig] {
+		return 0
+	}
+	type victim struct {
+		m     int
+		cost  float64
+		stops []Stop
+	}
+	var found []victim
+	for _, i := range p.victims {
+		m := &p.pool[i]
+		if !m.Ready || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 || (cached && !m.has(j.Desc.Image)) {
+			continue
 		}
-		best, bestCost := -1, math.Inf(1)
-		var stops []Stop
-		for i := range p.s.Machines {
-			m := &p.pool[i]
-			if !m.Ready || (cached && !m.HasImage[j.Desc.Image]) || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
-				continue
-			}
-			free, cost := m.Free, 0.0
-			var st []Stop
-			tasks := slices.Clone(m.Tasks)
+		free, cost := m.Free, 0.0
+		var st []Stop
+		tasks := m.Tasks
+		if len(tasks) > 1 {
+			tasks = slices.Clone(tasks)
 			slices.SortStableFunc(tasks, func(a, b Running) int {
 				return cmp.Or(cmp.Compare(p.s.Jobs[b.Job].Rank, p.s.Jobs[a.Job].Rank), cmp.Compare(a.LostS, b.LostS))
 			})
-			for _, r := range tasks {
-				v := &p.s.Jobs[r.Job]
-				if free.Slots(j.Need) > 0 || v.Rank <= j.Rank {
-					break
-				}
-				if p.pos[r.Job] < p.pos[ji] {
-					continue // it would take the room again at once
-				}
-				if v.Desc.Shape == wire.Gang && v.Desc.Tasks > 1 {
-					continue
-				}
-				free = free.Sub(v.Need, -r.Count)
-				if !r.Stopping {
-					cost += r.LostS * v.Need.Cores
-					st = append(st, Stop{i, r.Job})
-				}
+		}
+		for _, r := range tasks {
+			v := &p.s.Jobs[r.Job]
+			if free.Slots(j.Need) > 0 || v.Rank <= j.Rank {
+				break
 			}
-			if free.Slots(j.Need) > 0 && cost < bestCost {
-				best, bestCost, stops = i, cost, st
+			if p.pos[r.Job] < p.pos[ji] {
+				continue // it would take the room again at once
 			}
+			if v.Desc.Shape == wire.Gang && v.Desc.Tasks > 1 {
+				continue
+			}
+			free = free.Sub(v.Need, -r.Count)
+			if !r.Stopping {
+				cost += r.LostS * v.Need.Cores
+				st = append(st, Stop{i, r.Job})
+			}
+		}
+		if free.Slots(j.Need) > 0 {
+			found = append(found, victim{i, cost, st})
 		}
-		if best < 0 {
-			return made
+	}
+	slices.SortStableFunc(found, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	made := 0
+	for _, v := range found {
+		m := &p.pool[v.m]
+		if made == n || ZoneRoom(j.Desc, zones, m.Zone) == 0 {
+			continue
 		}
-		m := &p.pool[best]
-		for _, st := range stops {
+		made++
+		for _, st := range v.stops {
 			p.plan.Stops = append(p.plan.Stops, st)
 			for k, r := range m.Tasks {
 				if r.Job == st.Job {
@@ -668,11 +915,16 @@
 		m.Ready = false // its room is spoken for
 		zones[m.Zone]++
 	}
+	if like && made < n {
+		p.full[sig] = true
+	}
+	return made
 }
 
 // rent asks for the cheapest offers that hold n tasks (P2), sized to them; what
 // a rented machine has left over counts as coming room for the jobs behind.
-func (p *planner) rent(ji, n int, zones map[string]int, keepOff, gang bool) {
+// With in, only there: the rest of a gang is to come to where it has room.
+func (p *planner) rent(ji, n int, zones map[string]int, keepOff bool, in string) {
 	j := &p.s.Jobs[ji]
 	d := j.Desc
 	for n > 0 {
@@ -685,7 +937,7 @@
 			slots := t.Total.Slots(j.Need)
 			for _, z := range t.Zones {
 				k := min(n, ZoneRoom(d, zones, z))
-				if k == 0 || (gang && d.OneZone && k < n) {
+				if k == 0 || (in != "" && z != in) {
 					continue
 				}
 				for _, spot := range []bool{true, false} {
@@ -706,6 +958,7 @@
 		k := min(n, ZoneRoom(d, zones, best.Zone))
 		count := (k + bestSlots - 1) / bestSlots
 		for left := k; left > 0; left -= bestSlots {
+			p.open = append(p.open, len(p.pool))
 			p.pool = append(p.pool, Machine{Type: best.Type, Zone: best.Zone, Spot: best.Spot, Coming: true,
 				Free: p.s.Types[best.Type].Total.Sub(j.Need, min(left, bestSlots))})
 		}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -51,7 +51,7 @@
 	}
 	for i := range rng.IntN(9) {
 		m := Machine{ID: fmt.Sprint("m", i), Type: rng.IntN(3), Zone: zones[rng.IntN(2)], Spot: rng.IntN(3) == 0,
-			IdleS: float64(rng.IntN(90)), CardIdleS: float64(rng.IntN(90)), HasImage: map[string]bool{"img0": rng.IntN(2) == 0}}
+			IdleS: float64(rng.IntN(90)), CardIdleS: float64(rng.IntN(90)), Images: []string{"img0", "img1"}[:rng.IntN(2)]}
 		m.Free = s.Types[m.Type].Total
 		m.Ready = rng.IntN(4) > 0
 		m.Coming = !m.Ready && rng.IntN(2) == 0
@@ -135,11 +135,11 @@
 					if d.OneZone && z[zones[0]]+z[zones[1]] > 0 && z[m.Zone] == 0 {
 						continue
 					}
-					if !m.Ready || !fits || !place || (cached && !m.HasImage[d.Image]) {
+					if !m.Ready || !fits || !place || (cached && !m.has(d.Image)) {
 						continue
 					}
 					est := j.EstimateS
-					if !m.HasImage[d.Image] {
+					if !m.has(d.Image) {
 						est += d.ImageGB / t.FetchGBps
 					}
 					cost := t.PriceOf(m.Spot) / float64(t.Total.Slots(j.Need)) * max(est, 1)
@@ -307,3 +307,57 @@
 		t.Errorf("%d stops and %d rents: the snapshots test too little", stops, rents)
 	}
 }
+
+// A task whose machine's zone is not known, as after a takeover, may be in any
+// zone. (On the users' bench, spread services were put together after one.)
+func TestUnknownZoneCounts(t *testing.T) {
+	d := &wire.Job{Tasks: 4, Spread: true}
+	if n := ZoneRoom(d, map[string]int{"a": 1, "": 1}, "a"); n != 0 {
+		t.Errorf("room for %d more where two may be already", n)
+	}
+	if n := ZoneRoom(&wire.Job{Tasks: 4, OneZone: true}, map[string]int{"": 1}, "a"); n != 0 {
+		t.Errorf("room for %d in one zone while another may be in use", n)
+	}
+}
+
+// A gang that has waited too long gets the machines that fall free kept for it,
+// also against smaller gangs that would be served before it; once all are there
+// it starts. Without the guard the small ones take every machine for ever.
+func TestOverdueGangGathers(t *testing.T) {
+	need := Res{4, 4, 8}
+	s := &Snapshot{Rho: 1, GiveBack: 4, OverdueShare: 0.5, CardRank: 2, CardNeed: need, Refused: map[Offer]bool{},
+		Types: []Type{{Name: "card", Total: Res{8, 4, 16}, Price: 9, BootS: 35, FetchGBps: 1, Zones: zones}}, Teams: []Team{{}}}
+	add := func(ref string, tasks int, overdue float64) {
+		d := &wire.Job{ID: ref, Shape: wire.Gang, Tasks: tasks, Cores: 4, Cards: 4, MemGB: 8, OneZone: true, Rank: wire.Standard}
+		s.Jobs = append(s.Jobs, Job{Ref: ref, Desc: d, Need: Need(d), Rank: 2, EstimateS: 60, DueS: 100 - overdue, Waiting: tasks, OverdueS: overdue, Counts: 1})
+	}
+	add("big", 4, 5)
+	for i := range 8 {
+		add(fmt.Sprint("small", i), 1, 0)
+	}
+	for i := range 6 {
+		s.Machines = append(s.Machines, Machine{ID: fmt.Sprint("m", i), Zone: "a", Free: s.Types[0].Total})
+	}
+	started := false
+	for round := 0; round < 6; round++ { // one machine falls free after another
+		s.Machines[round].Ready = true
+		for _, st := range Decide(s).Starts {
+			if st.Job == 0 {
+				started = started || round >= 3
+			} else if !started {
+				t.Fatalf("round %d: %s takes a machine that the overdue gang waits for", round, s.Jobs[st.Job].Ref)
+			}
+		}
+		if started {
+			break
+		}
+	}
+	if !started {
+		t.Error("the overdue gang did not start")
+	}
+	s.Jobs[0].OverdueS = 0 // the same gang, not overdue, goes behind
+	s.Machines[5].Ready, s.Jobs[0].DueS = false, -1
+	if p := Decide(s); len(p.Starts) == 0 || p.Starts[0].Job == 0 {
+		t.Errorf("starts %v", p.Starts)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -63,8 +63,27 @@
 	// PassGap is the least time between two decision passes; events within it
 	// are decided together.
 	PassGap = 25 * time.Millisecond
+	// PassPause times what the last pass took is the least time to the next,
+	// so that passes take at most a fifth of the process's time.
+	PassPause = 4
+	// PassGapMax bounds that pause: services should start within a second.
+	PassGapMax = 400 * time.Millisecond
+	// OverdueAfter is how long a job may wait for its first start before it goes
+	// first, in seconds: even the largest must begin within four minutes, and
+	// room for them takes a boot, a fetch and other work's run time to come.
+	OverdueAfter = 100.0
+	// OverdueAim is the share of the class's aim on starts after which it does,
+	// and OverdueLeast the least, in seconds: a boot, for work just rented for.
+	OverdueAim   = 0.33
+	OverdueLeast = 30.0
+	// OverdueShare is the part of the held machines kept for such jobs at most,
+	// beyond one job: the others must be served as well.
+	OverdueShare = 0.5
 	// TickEvery drives everything that depends on time alone.
 	TickEvery = 500 * time.Millisecond
+	// CompletionDelay is how long completions of parts of a job may wait for
+	// others before they are recorded. Until then the worker keeps them.
+	CompletionDelay = 2 * time.Second
 	// CommitBytes bounds a commit, in bytes as JSON, under the 64 KiB limit.
 	CommitBytes = 48 << 10
 	// LeaderWriteShare is the leader's part of the changes a second; the rest
@@ -106,6 +125,9 @@
 
 	// CloudTimeout ends a cloud call; usual answers take about 100 ms.
 	CloudTimeout = 4 * time.Second
+	// CloudBurst is how many seconds' worth of calls may be made at once; the
+	// cloud allows two.
+	CloudBurst = 1.5
 	// CloudTick is the pause between cloud list calls, within the call budget.
 	CloudTick = 3 * time.Second
 	// CatalogEvery refreshes prices; they move slowly.
@@ -114,6 +136,9 @@
 	RentMax   = 50
 	ReturnMax = 100
 	ListMax   = 500
+	// OffersAtOnce is for how many offers the cloud is asked at once: about what
+	// it answers in a second or two.
+	OffersAtOnce = 6
 	// NoCapacityBackoff and its maximum rest a type, zone and kind after a
 	// refusal. Capacity comes back when others return machines.
 	NoCapacityBackoff    = 5 * time.Second
@@ -165,6 +190,9 @@
 	InboxSize = 1024
 	// MemoryShare is the part of the memory limit given to the Go runtime.
 	MemoryShare = 0.75
+	// GCPercent is how much the heap may grow before it is collected, in percent:
+	// processor time is scarcer than memory, which has its own limit above.
+	GCPercent = 400
 	// LateLogEvery limits the liaison's log line about late production work.
 	LateLogEvery = 10 * time.Second
 	// StatusEvery is how often the summary for the status page is made.
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -52,6 +52,7 @@
 // Run runs a controller until ctx ends. It only returns an error if it cannot
 // start: whatever fails later is waited out.
 func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+	debug.SetGCPercent(tuning.GCPercent)
 	debug.SetMemoryLimit(int64(cfg.Deployment.Limits.MemoryMB * tuning.MemoryShare * (1 << 20)))
 	apiLn, err := net.Listen("tcp", cfg.APIAddr)
 	if err != nil {
