--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -377,3 +377,97 @@
 		t.Errorf("rents %+v, not one more machine", r)
 	}
 }
+
+// Over random loads that the machines can carry, every job begins within four
+// minutes, the largest of its kind too: a gang in one zone on machines that small
+// ones keep taking, and an array of hundreds among small ones; and each of the
+// teams gets as much as the others.
+func TestLargestBegin(t *testing.T) {
+	for seed := range uint64(12) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		s := &Snapshot{Rho: 1, GiveBack: 4, OverdueShare: 0.5, CardRank: 2, CardNeed: Res{4, 4, 8}, Refused: map[Offer]bool{},
+			Types: []Type{
+				{Name: "card", Total: Res{8, 4, 16}, Price: 9, BootS: 35, FetchGBps: 1, Zones: zones},
+				{Name: "cpu", Total: Res{16, 0, 64}, Price: 1, BootS: 35, FetchGBps: 1, Zones: zones},
+			}, Teams: make([]Team, 10)}
+		for i := range 120 {
+			m := Machine{ID: fmt.Sprint("m", i), Type: i % 2, Zone: zones[i/2%2], Ready: true}
+			m.Free = s.Types[m.Type].Total
+			s.Machines = append(s.Machines, m)
+		}
+		type run struct{ job, machine, n, ends int }
+		type state struct {
+			at, begun, left int
+			lasts           int
+		}
+		var runs []run
+		var jobs []state
+		waits := make([][]int, 10)
+		for now := 0; now < 1200; now++ {
+			for _, r := range runs {
+				if r.ends == now {
+					j, m := &s.Jobs[r.job], &s.Machines[r.machine]
+					m.Free = m.Free.Sub(j.Need, -r.n)
+					for k, x := range m.Tasks {
+						if x.Job == r.job {
+							if m.Tasks[k].Count -= r.n; m.Tasks[k].Count == 0 {
+								m.Tasks = slices.Delete(slices.Clone(m.Tasks), k, k+1)
+							}
+							break
+						}
+					}
+					j.Live -= r.n
+					s.Teams[j.Team].Used = s.Teams[j.Team].Used.Sub(j.Need, r.n)
+				}
+			}
+			runs = slices.DeleteFunc(runs, func(r run) bool { return r.ends == now })
+			for range 2 {
+				d := &wire.Job{ID: fmt.Sprint(len(s.Jobs)), MemGB: 8, Spot: true}
+				switch {
+				case rng.Float64() < 0.10: // a gang; of the tasks, half are in the largest
+					d.Shape, d.Tasks, d.Cores, d.Cards, d.OneZone = wire.Gang, []int{1, 1, 1, 1, 2, 2, 2, 4, 4, 16}[rng.IntN(10)], 4, 4, true
+				case rng.Float64() < 0.018:
+					d.Shape, d.Tasks, d.Cores = wire.Array, []int{10, 20, 30, 40, 300}[rng.IntN(5)], 4
+				default:
+					continue
+				}
+				j := Job{Ref: d.ID, Desc: d, Need: Need(d), Rank: 2, EstimateS: 60, Waiting: d.Tasks, Counts: 1, Team: rng.IntN(10)}
+				s.Jobs = append(s.Jobs, j)
+				jobs = append(jobs, state{at: now, begun: -1, left: d.Tasks, lasts: 30 + rng.IntN(60)})
+			}
+			for i := range s.Jobs {
+				j := &s.Jobs[i]
+				age := float64(now - jobs[i].at)
+				j.DueS = 180 - age
+				j.OverdueS = 0
+				if j.Waiting > 0 {
+					j.OverdueS = max(0, age-60)
+				}
+			}
+			for _, st := range Decide(s).Starts {
+				j, m := &s.Jobs[st.Job], &s.Machines[st.Machine]
+				m.Free = m.Free.Sub(j.Need, st.Count)
+				m.Tasks = append(slices.Clone(m.Tasks), Running{Job: st.Job, Count: st.Count, LeftS: 60})
+				j.Waiting -= st.Count
+				j.Live += st.Count
+				s.Teams[j.Team].Used = s.Teams[j.Team].Used.Sub(j.Need, -st.Count)
+				runs = append(runs, run{st.Job, st.Machine, st.Count, now + jobs[st.Job].lasts})
+				if j.Waiting == 0 {
+					jobs[st.Job].begun = now
+					waits[j.Team] = append(waits[j.Team], now-jobs[st.Job].at)
+				}
+			}
+		}
+		for i, j := range jobs {
+			if j.begun < 0 && j.at < 960 || j.begun-j.at > 240 {
+				t.Errorf("seed %d: job %d of %d tasks (%s, team %d), there at %d s, has all begun at %d s", seed, i, s.Jobs[i].Desc.Tasks, s.Jobs[i].Desc.Shape, s.Jobs[i].Team, j.at, j.begun)
+			}
+		}
+		for team, w := range waits {
+			slices.Sort(w)
+			if len(w) > 0 && w[len(w)/2] > 60 {
+				t.Errorf("seed %d: half of the jobs of team %d wait over %d s", seed, team, w[len(w)/2])
+			}
+		}
+	}
+}
