Let overdue work go first later where its class's last aim or its rank allows

Cause: with the threshold at a third of the first aim on starts, overdue gangs took the room of fresh ones that could still begin within 12 s, and overdue work of the lowest rank that of work with deadlines.

--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -269,15 +269,23 @@
 	return last.s - age, last.onStart
 }
 
-// mayWait is how long a job of a class may wait for its first start, in seconds,
-// before it goes first: early enough that room for it falls free in time.
-func (c *Controller) mayWait(class string) float64 {
+// mayWait is how long a job may wait for its first start, in seconds, before it
+// goes first: early enough that room for it falls free in time. The lowest rank
+// waits longer, since it goes before others' work then.
+func (c *Controller) mayWait(class string, rank int) float64 {
 	wait := tuning.OverdueAfter
+	if rank == sched.LowestRank {
+		wait = tuning.OverdueAfterIdle
+	}
+	last := 0.0
 	for _, o := range c.Config.Deployment.Objectives {
 		if o.Kind == "wait" && o.Class == class {
-			wait = min(wait, max(o.WithinS*tuning.OverdueAim, tuning.OverdueLeast))
+			last = max(last, o.WithinS)
 		}
 	}
+	if last > 0 {
+		wait = min(wait, max(last*tuning.OverdueAim, tuning.OverdueLeast))
+	}
 	return wait
 }
 
@@ -306,11 +314,11 @@
 		return strings.Compare(a.ref, b.ref)
 	})
 	wait := map[string]float64{}
-	waits := func(class string) float64 {
-		w, ok := wait[class]
+	waits := func(j *job) float64 {
+		w, ok := wait[j.desc.Class]
 		if !ok {
-			w = c.mayWait(class)
-			wait[class] = w
+			w = c.mayWait(j.desc.Class, j.rank())
+			wait[j.desc.Class] = w
 		}
 		return w
 	}
@@ -336,7 +344,7 @@
 			sj.Counts = float64(j.desc.Tasks)
 		}
 		if !j.begun() {
-			sj.OverdueS = max(0, now.Sub(j.at).Seconds()-waits(j.desc.Class))
+			sj.OverdueS = max(0, now.Sub(j.at).Seconds()-waits(j))
 		}
 		if room := c.maxLive - len(j.live); sj.Waiting > room {
 			// More would not fit into the run record, and a gang starts whole.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -15,8 +15,8 @@
 
 const eps = 1e-9
 
-// lowestRank is the rank that everything else may stop.
-const lowestRank = 3
+// LowestRank is the rank that everything else may stop.
+const LowestRank = 3
 
 // Res is an amount of machine resources.
 type Res struct{ Cores, Cards, Mem float64 }
@@ -650,7 +650,7 @@
 // lowest rank is certain to be stopped for it.
 func (p *planner) cardRank() int {
 	if p.s.CardRank < 0 {
-		return lowestRank - 1
+		return LowestRank - 1
 	}
 	return p.s.CardRank
 }
