Place with an eye on image fetches under way

Cause: on fresh machines up to twelve images were fetched at once, each slowed by the others, and a new leader knew no images at all.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -558,6 +558,13 @@
 	}
 	if !wasUp {
 		m.IdleSince, m.CardsIdle = now, now
+		// An inherited machine has at least the images of what it runs.
+		for k, p := range m.Live {
+			i, known := c.typeIdx[m.Type]
+			if j := c.jobs[k.Job]; j != nil && known && p.State != "" && p.State != wire.TaskFetching {
+				m.TouchImage(j.desc.Image, j.desc.ImageGB, c.types[i].CacheGB)
+			}
+		}
 		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
 	c.end(ended, now)
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -372,6 +372,7 @@
 	s.Machines = make([]sched.Machine, 0, len(c.sorted))
 	arena := make([]sched.Running, 0, c.lastRunning+len(c.sorted))
 	unsettled := 0
+	var fetching []string
 	for _, m := range c.sorted {
 		ti, ok := c.typeIdx[m.Type]
 		if !ok {
@@ -385,6 +386,7 @@
 			unsettled++
 		}
 		first := len(arena)
+		fetching = fetching[:0]
 		for k, p := range m.Live {
 			ji, ok := jobIdx[k.Job]
 			if !ok {
@@ -399,6 +401,10 @@
 			}
 			r := &arena[first+ri]
 			r.Count++
+			if d := s.Jobs[ji].Desc; (p.State == "" || p.State == wire.TaskFetching) && !slices.Contains(fetching, d.Image) {
+				fetching = append(fetching, d.Image)
+				sm.FetchGB += max(0, d.ImageGB-s.Types[ti].FetchGBps*now.Sub(p.Since).Seconds())
+			}
 			r.Stopping = r.Stopping && p.Stopping
 			r.LeftS = max(r.LeftS, s.Jobs[ji].EstimateS)
 			if p.State == wire.TaskRunning {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 
+	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
 
@@ -76,7 +77,8 @@
 	Empty     bool     // nothing may be on it
 	IdleS     float64  // how long it has been empty
 	CardIdleS float64  // with cards: how long none of them has been in use
-	Images    []string // that it has
+	Images    []string // that it has or is fetching
+	FetchGB   float64  // still to be fetched for what is on it
 	Tasks     []Running
 }
 
@@ -703,7 +705,15 @@
 		t := &p.s.Types[m.Type]
 		est := j.EstimateS
 		if !m.has(d.Image) {
+			// Fetches share the rate: one after another the first are there
+			// sooner, and what waits meanwhile may find a better place.
+			if kind == ready && m.FetchGB > tuning.FetchAheadS*t.FetchGBps {
+				continue
+			}
 			est += fetchS(t, d)
+			if t.FetchGBps > 0 {
+				est += m.FetchGB / t.FetchGBps
+			}
 		}
 		share := 1 / float64(max(1, t.Total.Slots(j.Need)))
 		left := m.Free.Cores
@@ -765,6 +775,10 @@
 		m.Free = m.Free.Sub(j.Need, st.Count)
 		zones[m.Zone] += st.Count
 		if kind != coming {
+			if !m.has(d.Image) {
+				m.Images = append(slices.Clip(m.Images), d.Image)
+				m.FetchGB += d.ImageGB
+			}
 			m.Tasks = append(slices.Clip(m.Tasks), Running{Job: ji, Count: st.Count})
 			p.plan.Starts = append(p.plan.Starts, st)
 		}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
 
@@ -51,7 +52,7 @@
 	}
 	for i := range rng.IntN(9) {
 		m := Machine{ID: fmt.Sprint("m", i), Type: rng.IntN(3), Zone: zones[rng.IntN(2)], Spot: rng.IntN(3) == 0,
-			IdleS: float64(rng.IntN(90)), CardIdleS: float64(rng.IntN(90)), Images: []string{"img0", "img1"}[:rng.IntN(2)]}
+			IdleS: float64(rng.IntN(90)), CardIdleS: float64(rng.IntN(90)), Images: []string{"img0", "img1"}[:rng.IntN(2)], FetchGB: float64(rng.IntN(3)) * 2.5}
 		m.Free = s.Types[m.Type].Total
 		m.Ready = rng.IntN(4) > 0
 		m.Coming = !m.Ready && rng.IntN(2) == 0
@@ -77,8 +78,10 @@
 	out := map[string]int{}
 	free := make([]Res, len(s.Machines))
 	cardTask := make([]bool, len(s.Machines))
+	images, fetch := make([][]string, len(s.Machines)), make([]float64, len(s.Machines))
 	for i := range s.Machines {
 		free[i] = s.Machines[i].Free
+		images[i], fetch[i] = slices.Clone(s.Machines[i].Images), s.Machines[i].FetchGB
 	}
 	used := slices.Clone(s.Teams)
 	cardWaits, below := false, s.CardRank
@@ -135,12 +138,15 @@
 					if d.OneZone && z[zones[0]]+z[zones[1]] > 0 && z[m.Zone] == 0 {
 						continue
 					}
-					if !m.Ready || !fits || !place || (cached && !m.has(d.Image)) {
+					if !m.Ready || !fits || !place || (cached && !slices.Contains(images[i], d.Image)) {
 						continue
 					}
 					est := j.EstimateS
-					if !m.has(d.Image) {
-						est += d.ImageGB / t.FetchGBps
+					if !slices.Contains(images[i], d.Image) {
+						if fetch[i] > tuning.FetchAheadS*t.FetchGBps {
+							continue
+						}
+						est += (d.ImageGB + fetch[i]) / t.FetchGBps
 					}
 					cost := t.PriceOf(m.Spot) / float64(t.Total.Slots(j.Need)) * max(est, 1)
 					tie := best >= 0 && f[i].Cores < f[best].Cores
@@ -185,6 +191,10 @@
 			}
 			limit -= len(at)
 			for _, i := range at {
+				if !slices.Contains(images[i], d.Image) {
+					images[i] = append(images[i], d.Image)
+					fetch[i] += d.ImageGB
+				}
 				free[i] = free[i].Sub(j.Need, 1)
 				live[s.Machines[i].Zone]++
 				cardTask[i] = cardTask[i] || d.Cards > 0
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -89,6 +89,9 @@
 	// OverdueShare is the part of the held machines kept for such jobs at most,
 	// beyond one job: the others must be served as well.
 	OverdueShare = 0.5
+	// FetchAheadS is how many seconds of image fetches may be under way on a
+	// machine when a task with another image is put on it.
+	FetchAheadS = 4.0
 	// TickEvery drives everything that depends on time alone.
 	TickEvery = 500 * time.Millisecond
 	// CompletionDelay is how long completions of parts of a job may wait for
