--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -863,8 +863,8 @@
 	return zone, left
 }
 
-// makeRoom stops the work of lower rank on the machine where the least of it
-// is lost. What is already stopping counts as room to come. It returns for
+// makeRoom stops the work of the lowest rank, on the machine where the least of
+// it is lost. What is already stopping counts as room to come. It returns for
 // how many tasks there will be room.
 func (p *planner) makeRoom(ji, n int, zones map[string]int, keepOff, cached bool) int {
 	j := &p.s.Jobs[ji]
@@ -882,9 +882,9 @@
 		return 0
 	}
 	type victim struct {
-		m     int
-		cost  float64
-		stops []Stop
+		m, rank int // the rank of the highest work that is stopped
+		cost    float64
+		stops   []Stop
 	}
 	var found []victim
 	for _, i := range p.victims {
@@ -892,7 +892,7 @@
 		if !m.Ready || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 || (cached && !m.has(j.Desc.Image)) {
 			continue
 		}
-		free, cost := m.Free, 0.0
+		free, cost, rank := m.Free, 0.0, LowestRank
 		var st []Stop
 		tasks := m.Tasks
 		if len(tasks) > 1 {
@@ -915,14 +915,19 @@
 			free = free.Sub(v.Need, -r.Count)
 			if !r.Stopping {
 				cost += r.LostS * v.Need.Cores
+				rank = min(rank, v.Rank)
 				st = append(st, Stop{i, r.Job})
 			}
 		}
 		if free.Slots(j.Need) > 0 {
-			found = append(found, victim{i, cost, st})
+			found = append(found, victim{i, rank, cost, st})
 		}
 	}
-	slices.SortStableFunc(found, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	// The lowest rank first: a task of an array that is stopped holds up its
+	// whole job, and among higher work that job has a deadline to lose.
+	slices.SortStableFunc(found, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.cost, b.cost))
+	})
 	made := 0
 	for _, v := range found {
 		m := &p.pool[v.m]
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -481,3 +481,25 @@
 		}
 	}
 }
+
+// Room for production is made where the lowest work runs, even if less time
+// would be lost elsewhere.
+func TestLowestIsStoppedFirst(t *testing.T) {
+	s := &Snapshot{Rho: 1, CardRank: -1, Refused: map[Offer]bool{}, Teams: []Team{{}},
+		Types: []Type{{Name: "small", Total: Res{4, 0, 16}, Price: 1, BootS: 30, FetchGBps: 1, Zones: zones}}}
+	for i, rank := range []int{0, 2, 3} {
+		d := &wire.Job{ID: fmt.Sprint(i), Shape: wire.Array, Tasks: 1, Cores: 4, MemGB: 4}
+		j := Job{Ref: d.ID, Desc: d, Need: Need(d), Rank: rank, EstimateS: 60, DueS: 100}
+		if rank == 0 {
+			d.Shape, j.Waiting = wire.Service, 1
+		} else {
+			j.Live = 1
+			s.Machines = append(s.Machines, Machine{ID: d.ID, Zone: "a", Ready: true, Free: Res{0, 0, 12},
+				Tasks: []Running{{Job: i, Count: 1, LostS: float64(rank*10 - 15)}}})
+		}
+		s.Jobs = append(s.Jobs, j)
+	}
+	if st := Decide(s).Stops; len(st) != 1 || st[0].Job != 2 {
+		t.Errorf("stops %+v", st)
+	}
+}
