Stop as few tasks as need be; give up a term whose commits are all refused

A stop for production took all tasks of the job on the machine. The chaos test found a leader that went on for ever when one record had changed behind its back; its network had repeated refused requests, which PROTOCOL rules out and is mended too, but any other cause would have stopped everything as well.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -185,6 +185,17 @@
 				c.OnTerm(c.term.N + 1)
 				return
 			}
+			c.Log.Debug("commit refused", "failed", m.failed)
+			if c.conflictAt.IsZero() {
+				c.conflictAt = now
+			}
+			if now.Sub(c.conflictAt) > tuning.ConflictGiveUp {
+				// The records are not what we take them for, and nothing would
+				// be written ever again: a new term reads them anew.
+				c.Log.Error("records have changed behind this leader", "keys", m.failed)
+				c.OnTerm(c.term.N + 1)
+				return
+			}
 			// A job was cancelled meanwhile; its event is on the way. Its new
 			// starts are dropped, the rest is written next time.
 			for _, w := range b.runs {
@@ -205,6 +216,7 @@
 		c.commitAfter = now.Add(tuning.ElectionRetry)
 		return
 	}
+	c.conflictAt = time.Time{}
 	for _, w := range b.runs {
 		w.j.runVer = m.revision
 		for _, n := range w.done {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -118,6 +118,7 @@
 	asOfTerm    time.Time
 	inCommit    *batch
 	commitAfter time.Time
+	conflictAt  time.Time // since when every commit has been refused; zero: the last was not
 	writes      *rate.Limiter
 	listed      bool
 	listing     bool
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -193,14 +193,20 @@
 	}
 	for _, st := range plan.Stops {
 		m, j := machines[st.Machine], jobs[st.Job]
-		c.Log.Info("making room", "machine", m.ID, "job", j.ref)
+		c.Log.Info("making room", "machine", m.ID, "job", j.ref, "count", st.Count)
+		var of []*fleet.Placement
 		for _, p := range m.Live {
-			if p.Job == j.ref {
-				// What goes before does not wait for a save: no more is lost
-				// than the time since the last checkpoint.
-				c.stop(p, 0, now)
+			if p.Job == j.ref && !p.Stopping {
+				of = append(of, p)
 			}
 		}
+		// The last started first: the least is lost.
+		slices.SortFunc(of, func(a, b *fleet.Placement) int { return cmp.Or(b.Since.Compare(a.Since), cmp.Compare(a.Task, b.Task)) })
+		for _, p := range of[:min(st.Count, len(of))] {
+			// What goes before does not wait for a save: no more is lost
+			// than the time since the last checkpoint.
+			c.stop(p, 0, now)
+		}
 	}
 	// One call at a time for an offer: what is asked for meanwhile goes into the
 	// next together. A claim for each small need would queue at the cloud for
@@ -397,7 +403,7 @@
 			ri := slices.IndexFunc(arena[first:], func(r sched.Running) bool { return r.Job == ji })
 			if ri < 0 {
 				ri = len(arena) - first
-				arena = append(arena, sched.Running{Job: ji, Stopping: true})
+				arena = append(arena, sched.Running{Job: ji})
 			}
 			r := &arena[first+ri]
 			r.Count++
@@ -405,7 +411,9 @@
 				fetching = append(fetching, d.Image)
 				sm.FetchGB += max(0, d.ImageGB-s.Types[ti].FetchGBps*now.Sub(p.Since).Seconds())
 			}
-			r.Stopping = r.Stopping && p.Stopping
+			if p.Stopping {
+				r.Ending++
+			}
 			r.LeftS = max(r.LeftS, s.Jobs[ji].EstimateS)
 			if p.State == wire.TaskRunning {
 				r.LeftS = max(0, s.Jobs[ji].EstimateS-now.Sub(p.Since).Seconds())
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -58,11 +58,11 @@
 
 // Running is a task on a machine that could make room.
 type Running struct {
-	Job      int // index in Snapshot.Jobs
-	Count    int
-	Stopping bool
-	LostS    float64 // seconds of work that stopping them at once would lose
-	LeftS    float64 // seconds until the last of them is likely to end
+	Job    int // index in Snapshot.Jobs
+	Count  int
+	Ending int     // how many of them were told to stop
+	LostS  float64 // seconds of work that stopping them at once would lose
+	LeftS  float64 // seconds until the last of them is likely to end
 }
 
 // Machine is a machine as seen at the snapshot.
@@ -143,8 +143,8 @@
 	Count int
 }
 
-// Stop makes room: all tasks of Job on Machine are stopped, at once.
-type Stop struct{ Machine, Job int }
+// Stop makes room: Count tasks of Job on Machine are stopped, at once.
+type Stop struct{ Machine, Job, Count int }
 
 // Plan is what to do.
 type Plan struct {
@@ -912,11 +912,16 @@
 			if v.Desc.Shape == wire.Gang && v.Desc.Tasks > 1 {
 				continue
 			}
-			free = free.Sub(v.Need, -r.Count)
-			if !r.Stopping {
-				cost += r.LostS * v.Need.Cores
+			free = free.Sub(v.Need, -r.Ending)
+			k := 0
+			for r.Ending+k < r.Count && free.Slots(j.Need) == 0 {
+				free = free.Sub(v.Need, -1)
+				k++
+			}
+			if k > 0 {
+				cost += r.LostS * v.Need.Cores * float64(k) / float64(r.Count)
 				rank = min(rank, v.Rank)
-				st = append(st, Stop{i, r.Job})
+				st = append(st, Stop{i, r.Job, k})
 			}
 		}
 		if free.Slots(j.Need) > 0 {
@@ -940,8 +945,8 @@
 			for k, r := range m.Tasks {
 				if r.Job == st.Job {
 					m.Tasks = slices.Clone(m.Tasks)
-					m.Tasks[k].Stopping = true
-					m.Free = m.Free.Sub(p.s.Jobs[r.Job].Need, -r.Count)
+					m.Tasks[k].Ending += st.Count
+					m.Free = m.Free.Sub(p.s.Jobs[r.Job].Need, -st.Count)
 					break
 				}
 			}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -178,7 +178,7 @@
 			return
 		}
 		rec := t.n.serve(h, req, body, t.host)
-		if again {
+		if again && rec.Code == http.StatusOK { // only what was carried out is repeated
 			go func() {
 				time.Sleep(time.Duration(t.n.float() * float64(later)))
 				t.n.mu.Lock()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -102,6 +102,10 @@
 	// LeaderWriteShare is the leader's part of the changes a second; the rest
 	// is left for submissions and cancellations on all nodes.
 	LeaderWriteShare = 0.7
+	// ConflictGiveUp is for how long every commit may be refused for its guards
+	// before the leader gives up its term: the event of a cancellation, the usual
+	// cause, comes within a follow call.
+	ConflictGiveUp = 5 * time.Second
 	// RecordEntryBytes is what a placement takes in a job's record at the most,
 	// in bytes as JSON; it bounds a job's tasks in flight by value_kb.
 	RecordEntryBytes = 48
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -700,6 +700,19 @@
 	})
 }
 
+// A record that changes behind the leader's back makes all of its commits fail,
+// also those of other jobs: it must not go on like that for ever. (Found by the
+// chaos test when its network repeated requests that had been refused.)
+func TestRecordChangedBehindLeader(t *testing.T) {
+	run(t, 137, func(c *cluster) {
+		c.submit(sweep(1, "check", 8), 30)
+		c.until("it runs", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) >= 2 })
+		c.w.State.Spoil("o/req-000001/t")
+		c.submit(sweep(2, "check", 4), 10)
+		c.untilDone(3*time.Minute, "req-000001", "req-000002")
+	})
+}
+
 // A job whose own record cannot be read was accepted all the same: its user is
 // not told that nobody knows it, nor refused for ever.
 func TestUnreadableJobRecord(t *testing.T) {
