--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -276,12 +276,13 @@
 }
 
 // mayWait is how long a job may wait for its first start, in seconds, before it
-// goes first: early enough that room for it falls free in time. The lowest rank
-// waits longer, since it goes before others' work then.
-func (c *Controller) mayWait(class string, rank int) float64 {
-	wait := tuning.OverdueAfter
-	if rank == sched.LowestRank {
-		wait = tuning.OverdueAfterIdle
+// goes first: early enough that room for it falls free in time. What needs no
+// room all at once may wait longer, and so does the lowest rank, since it goes
+// before others' work then.
+func (c *Controller) mayWait(j *job) float64 {
+	wait, class := tuning.OverdueAfter, j.desc.Class
+	if !j.gang() || j.rank() == sched.LowestRank {
+		wait = tuning.OverdueAfterLong
 	}
 	last := 0.0
 	for _, o := range c.Config.Deployment.Objectives {
@@ -323,7 +324,7 @@
 	waits := func(j *job) float64 {
 		w, ok := wait[j.desc.Class]
 		if !ok {
-			w = c.mayWait(j.desc.Class, j.rank())
+			w = c.mayWait(j)
 			wait[j.desc.Class] = w
 		}
 		return w
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -78,9 +78,9 @@
 	// first, in seconds: even the largest must begin within four minutes, and
 	// room for them takes a boot, a fetch and other work's run time to come.
 	OverdueAfter = 100.0
-	// OverdueAfterIdle is the same for the lowest rank, which has no claim to go
-	// before others but must begin as well.
-	OverdueAfterIdle = 170.0
+	// OverdueAfterLong is the same for what needs no room all at once, and for
+	// the lowest rank, which has no claim to go before others but must begin.
+	OverdueAfterLong = 170.0
 	// OverdueAim is the share of the class's last aim on starts after which it
 	// does, and OverdueLeast the least, in seconds: a boot, for work just rented
 	// for.
