--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -279,21 +279,11 @@
 // goes first: early enough that room for it falls free in time. What needs no
 // room all at once may wait longer, and so does the lowest rank, since it goes
 // before others' work then.
-func (c *Controller) mayWait(j *job) float64 {
-	wait, class := tuning.OverdueAfter, j.desc.Class
-	if !j.gang() || j.rank() == sched.LowestRank {
-		wait = tuning.OverdueAfterLong
+func mayWait(j *job) float64 {
+	if !j.gang() || j.desc.Tasks == 1 || j.rank() == sched.LowestRank {
+		return tuning.OverdueAfterLong
 	}
-	last := 0.0
-	for _, o := range c.Config.Deployment.Objectives {
-		if o.Kind == "wait" && o.Class == class {
-			last = max(last, o.WithinS)
-		}
-	}
-	if last > 0 {
-		wait = min(wait, max(last*tuning.OverdueAim, tuning.OverdueLeast))
-	}
-	return wait
+	return tuning.OverdueAfter
 }
 
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
@@ -320,15 +310,6 @@
 		}
 		return strings.Compare(a.ref, b.ref)
 	})
-	wait := map[string]float64{}
-	waits := func(j *job) float64 {
-		w, ok := wait[j.desc.Class]
-		if !ok {
-			w = c.mayWait(j)
-			wait[j.desc.Class] = w
-		}
-		return w
-	}
 	demand := make([]sched.Res, len(s.Teams))
 	jobIdx := make(map[string]int, len(jobs))
 	s.Jobs = make([]sched.Job, 0, len(jobs))
@@ -351,7 +332,7 @@
 			sj.Counts = float64(j.desc.Tasks)
 		}
 		if !j.begun() {
-			sj.OverdueS = max(0, now.Sub(j.at).Seconds()-waits(j))
+			sj.OverdueS = max(0, now.Sub(j.at).Seconds()-mayWait(j))
 		}
 		if room := c.maxLive - len(j.live); sj.Waiting > room {
 			// More would not fit into the run record, and a gang starts whole.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -81,11 +81,6 @@
 	// OverdueAfterLong is the same for what needs no room all at once, and for
 	// the lowest rank, which has no claim to go before others but must begin.
 	OverdueAfterLong = 170.0
-	// OverdueAim is the share of the class's last aim on starts after which it
-	// does, and OverdueLeast the least, in seconds: a boot, for work just rented
-	// for.
-	OverdueAim   = 0.5
-	OverdueLeast = 30.0
 	// OverdueShare is the part of the held machines kept for such jobs at most,
 	// beyond one job: the others must be served as well.
 	OverdueShare = 0.5
