--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -752,14 +752,20 @@
 	}
 	starts, got := try("")
 	if d.OneZone {
-		// All in one zone: the zone that takes the most.
+		// All in one zone: the zone that takes the most, and of those that take
+		// all the one with the least room, so that the other keeps what a larger
+		// gang will need.
 		starts, got = nil, 0
-		seen := map[string]bool{}
+		room := map[string]int{}
+		for _, c := range cands {
+			room[p.pool[c.m].Zone] += c.room
+		}
+		seen, at := map[string]bool{}, ""
 		for _, c := range cands {
 			if z := p.pool[c.m].Zone; !seen[z] {
 				seen[z] = true
-				if st, g := try(z); g > got {
-					starts, got = st, g
+				if st, g := try(z); g > got || (g == got && room[z] < room[at]) {
+					starts, got, at = st, g, z
 				}
 			}
 		}
