--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -384,7 +384,9 @@
 	kept          []int // machines kept free for gangs that have waited too long
 	// full remembers which kinds of tasks found no more room: room only shrinks
 	// within a plan, so like tasks need not look again.
-	full      map[kindOfTask]bool
+	full map[kindOfTask]bool
+	// spare counts what is rented for production.
+	spare     map[Offer]int
 	cardWaits bool // work with cards waits
 	// cardLeft is when each held machine's work is likely to end, seconds from
 	// now, with the waiting work that was counted against it.
@@ -436,7 +438,7 @@
 
 // Decide makes the plan.
 func Decide(s *Snapshot) Plan {
-	p := &planner{s: s, pool: slices.Clone(s.Machines), full: map[kindOfTask]bool{}}
+	p := &planner{s: s, pool: slices.Clone(s.Machines), full: map[kindOfTask]bool{}, spare: map[Offer]int{}}
 	p.index()
 	taken := make([]bool, len(s.Machines))
 	var ahead, aheadCards float64
@@ -514,6 +516,11 @@
 			p.rent(ji, n, zones, keepOff, in)
 		}
 	}
+	// For production half as many again: boots vary by more than its aims
+	// allow, and the images of a first fleet come sooner over more machines.
+	for i := range p.plan.Rents {
+		p.plan.Rents[i].Count += p.spare[p.plan.Rents[i].Offer] / 2
+	}
 	for _, st := range p.plan.Starts {
 		taken[st.Machine] = true
 	}
@@ -1010,6 +1017,9 @@
 		}
 		zones[best.Zone] += k
 		n -= k
+		if j.Rank == 0 {
+			p.spare[best] += count
+		}
 		p.addRent(best, count)
 	}
 }
