--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -289,7 +289,7 @@
 
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
 	op := c.Config.Operator
-	s := &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor, OverdueShare: tuning.OverdueShare, Refused: map[sched.Offer]bool{}}
+	s := &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor, OverdueShare: tuning.OverdueShare, OverdueShareIdle: tuning.OverdueShareIdle, Refused: map[sched.Offer]bool{}}
 	for _, t := range c.types {
 		s.Types = append(s.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
 			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
@@ -333,7 +333,8 @@
 			sj.Counts = float64(j.desc.Tasks)
 		}
 		if !j.begun() {
-			sj.OverdueS = max(0, now.Sub(j.at).Seconds()-mayWait(j))
+			age := now.Sub(j.at).Seconds()
+			sj.OverdueS, sj.TooLate = max(0, age-mayWait(j)), age > tuning.MustBegin
 		}
 		if room := c.maxLive - len(j.live); sj.Waiting > room {
 			// More would not fit into the run record, and a gang starts whole.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -100,6 +100,7 @@
 	Team       int
 	Counts     float64 // what being in time counts: 1, or the tasks where an aim counts these
 	OverdueS   float64 // how long it has waited beyond what any may
+	TooLate    bool    // it has waited longer than any may
 }
 
 // Team is a team's use and its limit; a limit of 0 is none.
@@ -128,6 +129,9 @@
 	// OverdueShare is the part of the held machines that may be kept for what
 	// has waited too long.
 	OverdueShare float64
+	// OverdueShareIdle is the part that the lowest rank may have while it is so
+	// served, with what of it runs.
+	OverdueShareIdle float64
 	// CardRank is the lowest rank of the work with cards that has been seen, -1
 	// if there was none; CardNeed is the most that a task of it takes.
 	CardRank int
@@ -180,7 +184,7 @@
 	slices.SortStableFunc(idx, func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
 		if first[a] && first[b] {
-			return cmp.Or(cmpBool(x.Rank == 0, y.Rank == 0), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
+			return cmp.Or(cmpBool(x.Rank == 0, y.Rank == 0), cmpBool(!x.TooLate, !y.TooLate), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
 		}
 		return cmp.Or(group(a, b), cmp.Compare(x.DueS, y.DueS), cmp.Compare(x.Ref, y.Ref))
 	})
@@ -212,14 +216,29 @@
 			old = append(old, i)
 		}
 	}
+	// Those that are too late anyway come behind those that can still begin in
+	// time: in a long overload the others would all be too late by a little.
 	slices.SortFunc(old, func(a, b int) int {
-		return cmp.Or(cmp.Compare(s.Jobs[b].OverdueS, s.Jobs[a].OverdueS), cmp.Compare(s.Jobs[a].Ref, s.Jobs[b].Ref))
+		x, y := &s.Jobs[a], &s.Jobs[b]
+		return cmp.Or(cmpBool(!x.TooLate, !y.TooLate), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
 	})
 	leftCores, leftCards := cores*s.OverdueShare, cards*s.OverdueShare
+	idle := cores * s.OverdueShareIdle // of the lowest rank, with what of it runs
+	for i := range s.Jobs {
+		if j := &s.Jobs[i]; j.Rank == LowestRank && j.Need.Cards == 0 {
+			idle -= j.Need.Cores * float64(j.Live)
+		}
+	}
 	anyCores, anyCards := false, false
 	for _, i := range old {
 		j := &s.Jobs[i]
 		n := float64(j.Waiting)
+		if j.Rank == LowestRank && j.Need.Cards == 0 {
+			if idle <= 0 {
+				continue
+			}
+			idle -= j.Need.Cores * n
+		}
 		left, some, need := &leftCores, &anyCores, j.Need.Cores
 		if j.Need.Cards > 0 {
 			left, some, need = &leftCards, &anyCards, j.Need.Cards
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -81,6 +81,12 @@
 	// OverdueAfterLong is the same for what needs no room all at once, and for
 	// the lowest rank, which has no claim to go before others but must begin.
 	OverdueAfterLong = 170.0
+	// MustBegin is when even the largest jobs must have begun, in seconds (the
+	// operators' rule).
+	MustBegin = 240.0
+	// OverdueShareIdle is the part of the held machines' cores that the lowest
+	// rank may have while its overdue jobs go before others' work.
+	OverdueShareIdle = 0.4
 	// OverdueShare is the part of the held machines kept for such jobs at most,
 	// beyond one job: the others must be served as well.
 	OverdueShare = 0.5
