--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -277,14 +277,14 @@
 }
 
 // mayWait is how long a job may wait for its first start, in seconds, before it
-// goes first: early enough that room for it falls free in time. What needs no
-// room all at once may wait longer, and so does the lowest rank, since it goes
-// before others' work then.
-func mayWait(j *job) float64 {
-	if !j.gang() || j.desc.Tasks == 1 || j.rank() == sched.LowestRank {
-		return tuning.OverdueAfterLong
-	}
-	return tuning.OverdueAfter
+// goes first: early enough that even the largest begins in time. Room for a gang
+// falls free in one zone, a machine after another, and other gangs gather too.
+func mayWait(j *job, est, slots float64, zones int) float64 {
+	gather := 0.0
+	if j.gang() && j.desc.Tasks > 1 && slots > 0 {
+		gather = tuning.GatherSlack * est * float64(j.desc.Tasks) * float64(zones) / slots
+	}
+	return max(tuning.OverdueLeast, tuning.MustBegin-tuning.OverdueMargin-gather)
 }
 
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
@@ -313,6 +313,15 @@
 	})
 	demand := make([]sched.Res, len(s.Teams))
 	jobIdx := make(map[string]int, len(jobs))
+	// The machines that gangs gather on, with cards and without, and in how many
+	// zones they are.
+	slots, zones := map[bool]float64{}, 1
+	for _, m := range c.machines {
+		if ti, ok := c.typeIdx[m.Type]; ok && !m.Leaving {
+			slots[c.types[ti].Cards > 0]++
+			zones = max(zones, len(c.types[ti].Zones))
+		}
+	}
 	s.Jobs = make([]sched.Job, 0, len(jobs))
 	for i, j := range jobs {
 		ti := teamIdx[j.desc.Team]
@@ -334,7 +343,7 @@
 		}
 		if !j.begun() {
 			age := now.Sub(j.at).Seconds()
-			sj.OverdueS, sj.TooLate = max(0, age-mayWait(j)), age > tuning.MustBegin
+			sj.OverdueS, sj.TooLate = max(0, age-mayWait(j, est, slots[need.Cards > 0], zones)), age > tuning.MustBegin
 		}
 		if room := c.maxLive - len(j.live); sj.Waiting > room {
 			// More would not fit into the run record, and a gang starts whole.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -74,16 +74,18 @@
 	PassPause = 4
 	// PassGapMax bounds that pause: services should start within a second.
 	PassGapMax = 400 * time.Millisecond
-	// OverdueAfter is how long a job may wait for its first start before it goes
-	// first, in seconds: even the largest must begin within four minutes, and
-	// room for them takes a boot, a fetch and other work's run time to come.
-	OverdueAfter = 100.0
-	// OverdueAfterLong is the same for what needs no room all at once, and for
-	// the lowest rank, which has no claim to go before others but must begin.
-	OverdueAfterLong = 170.0
 	// MustBegin is when even the largest jobs must have begun, in seconds (the
 	// operators' rule).
 	MustBegin = 240.0
+	// OverdueMargin is how long before that a job goes first, in seconds: some
+	// run times of small tasks, or a boot and a fetch.
+	OverdueMargin = 70.0
+	// GatherSlack times the time in which as many machines fall free is allowed
+	// for a gang to gather, since others gather as well.
+	GatherSlack = 2.0
+	// OverdueLeast is the least that a job waits, in seconds: a boot, for work
+	// just rented for.
+	OverdueLeast = 30.0
 	// OverdueShareIdle is the part of the held machines' cores that the lowest
 	// rank may have while its overdue jobs go before others' work.
 	OverdueShareIdle = 0.4
