--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -77,9 +77,9 @@
 	// MustBegin is when even the largest jobs must have begun, in seconds (the
 	// operators' rule).
 	MustBegin = 240.0
-	// OverdueMargin is how long before that a job goes first, in seconds: some
-	// run times of small tasks, or a boot and a fetch.
-	OverdueMargin = 70.0
+	// OverdueMargin is how long before that a job goes first, in seconds: about a
+	// boot, or the time in which a few hundred small tasks end.
+	OverdueMargin = 40.0
 	// GatherSlack times the time in which as many machines fall free is allowed
 	// for a gang to gather, since others gather as well.
 	GatherSlack = 2.0
