Remember for which image a kind of task found no room

Since a machine takes only so many fetches, that one job found no room says nothing of a like job whose image is there. Found by rereading; a test fails without it.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -430,8 +430,8 @@
 		return kindOfTask{}, false
 	}
 	k := kindOfTask{need: j.Need, types: strings.Join(d.Types, " "), spot: d.Spot, rank: j.Rank, service: d.Shape == wire.Service, kind: kind}
-	if kind == cached {
-		k.image = d.Image
+	if kind == cached || kind == ready {
+		k.image = d.Image // a machine takes only so many images at once
 	}
 	return k, true
 }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -510,3 +510,18 @@
 		t.Errorf("stops %+v", st)
 	}
 }
+
+// That one job found no room on a machine busy fetching says nothing of a like
+// job whose image is there.
+func TestFullIsByImage(t *testing.T) {
+	s := &Snapshot{Rho: 1, CardRank: -1, Refused: map[Offer]bool{}, Teams: []Team{{}},
+		Types:    []Type{{Name: "small", Total: Res{4, 0, 16}, Price: 1, BootS: 30, FetchGBps: 1, Zones: zones}},
+		Machines: []Machine{{Zone: "a", Ready: true, Free: Res{4, 0, 16}, Images: []string{"there"}, FetchGB: 2 * tuning.FetchAheadS}}}
+	for i, image := range []string{"elsewhere", "there"} {
+		d := &wire.Job{ID: fmt.Sprint(i), Shape: wire.Array, Tasks: 1, Cores: 1, MemGB: 1, Image: image, ImageGB: 2}
+		s.Jobs = append(s.Jobs, Job{Ref: d.ID, Desc: d, Need: Need(d), Rank: 2, EstimateS: 60, DueS: 500 + float64(i), Waiting: 1})
+	}
+	if st := Decide(s).Starts; len(st) != 1 || st[0].Job != 1 {
+		t.Errorf("starts %+v", st)
+	}
+}
