--- a/scenario_test.go
+++ b/scenario_test.go
@@ -39,6 +39,7 @@
 	mends []func()
 	jobs  []string
 	names []string // of all nodes
+	dep   config.Deployment
 }
 
 var nodeNames = []string{"marble-0", "marble-1", "marble-2"}
@@ -66,15 +67,19 @@
 }
 
 func runWith(t *testing.T, seed uint64, names []string, scenario func(c *cluster)) {
+	runIn(t, seed, names, deployment(), scenario)
+}
+
+func runIn(t *testing.T, seed uint64, names []string, dep config.Deployment, scenario func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c := &cluster{t: t, ctx: ctx, net: standin.NewNetwork(seed), nodes: map[string]*node{}, stops: map[string]func(){}, names: names}
+		c := &cluster{t: t, ctx: ctx, net: standin.NewNetwork(seed), nodes: map[string]*node{}, stops: map[string]func(){}, names: names, dep: dep}
 		out := io.Discard
 		if os.Getenv("SCENARIO_LOG") != "" {
 			out = os.Stderr
 		}
 		c.log = slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
-		c.w = standin.NewWorld(ctx, c.net, deployment(), testTypes)
+		c.w = standin.NewWorld(ctx, c.net, dep, testTypes)
 		c.w.State.OnCommit = c.checkGuards
 		for i, name := range names {
 			c.w.AddNode(name, fmt.Sprintf("10.0.0.%d:80", i+1))
@@ -116,7 +121,7 @@
 // boot starts a node, as a new process would.
 func (c *cluster) boot(name string) {
 	i := slices.Index(c.names, name)
-	cfg := &Config{Node: name, APIAddr: fmt.Sprintf("10.0.0.%d:80", i+1), Deployment: deployment(), Operator: config.DefaultOperator()}
+	cfg := &Config{Node: name, APIAddr: fmt.Sprintf("10.0.0.%d:80", i+1), Deployment: c.dep, Operator: config.DefaultOperator()}
 	cfg.Services.Cloud, cfg.Services.State = "cloud:1", "state:1"
 	for _, p := range c.names {
 		if p != name {
@@ -851,6 +856,71 @@
 	})
 }
 
+// The same troubles at the size of the grown deployments: hundreds of machines,
+// many of them deaf at once, the leader left with its workers only, late copies of
+// reports, and every controller back at once.
+func TestHundredsOfMachines(t *testing.T) {
+	dep := deployment()
+	dep.Teams = []config.Team{{Name: "red", Cores: 500, CoresMax: 2000, Cards: 4, CardsMax: 8}, {Name: "blue", Cores: 500, CoresMax: 2000}}
+	names := []string{"marble-0", "marble-1", "marble-2", "marble-3", "marble-4"}
+	runIn(t, 138, names, dep, func(c *cluster) {
+		c.net.Repeat = map[string]time.Duration{"/hello": 40 * time.Second, "/do": 20 * time.Second}
+		for i := range 20 {
+			c.submit(standing(1+i, 4), 0)
+		}
+		for i := range 8 {
+			j := sweep(21+i, "check", 80)
+			j.Team, j.EstimateS = []string{"red", "blue"}[i%2], 60
+			c.submit(j, 60)
+		}
+		c.until("hundreds run", 2*time.Minute, func() bool { return len(c.w.Machines()) >= 250 })
+		up := func() bool {
+			for i := range 20 {
+				if len(c.w.On(fmt.Sprintf("req-%06d", 1+i))) != 4 {
+					return false
+				}
+			}
+			return true
+		}
+		c.until("all services run", time.Minute, up)
+		var mends []func()
+		for i, m := range c.w.Machines() {
+			if i%8 == 0 {
+				mends = append(mends, c.net.Deafen(m))
+			}
+		}
+		old := c.leader()
+		mends = append(mends, c.cut(old, "state", standin.Hold))
+		for _, n := range names {
+			if n != old {
+				mends = append(mends, c.cut(old, n, standin.Hold))
+			}
+		}
+		c.w.Withdraw("req-000001")
+		time.Sleep(40 * time.Second)
+		for _, mend := range mends {
+			mend()
+		}
+		for _, n := range names {
+			c.kill(n)
+			c.boot(n)
+		}
+		c.known(c.jobs...)
+		if on := c.w.On("req-000001"); len(on) > 0 {
+			t.Errorf("cancelled, still on %v", on)
+		}
+		c.untilDone(6*time.Minute, c.jobs[20:]...)
+		c.until("the other services run", time.Minute, func() bool {
+			for i := range 19 {
+				if len(c.w.On(fmt.Sprintf("req-%06d", 2+i))) != 4 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
 // Chaos: failures at random, several at once, with late copies of reports,
 // commands, commits and rentals, with 3, 5 and 7 controllers.
 func TestChaos(t *testing.T) {
