--- a/scenario_test.go
+++ b/scenario_test.go
@@ -181,6 +181,12 @@
 	}
 }
 
+// leaveWorkers cuts a node off from the state service and all other nodes.
+func (c *cluster) leaveWorkers(name string) func() {
+	others := slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == name })
+	return c.isolate(name, standin.Hold, append(others, "state")...)
+}
+
 // peerConn carries gRPC calls between the nodes through the stand-in network.
 type peerConn struct {
 	c        *cluster
@@ -754,12 +760,7 @@
 		c.submit(sweep(2, "check", 20), 30)
 		c.until("they run", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 4 && len(c.w.On("req-000002")) > 0 })
 		old := c.leader()
-		mends := []func(){c.cut(old, "state", standin.Hold)}
-		for _, n := range c.names {
-			if n != old {
-				mends = append(mends, c.cut(old, n, standin.Hold))
-			}
-		}
+		mend := c.leaveWorkers(old)
 		c.w.CloudDown = true // so that only the leases can end what runs there
 		time.Sleep(8 * time.Second)
 		c.w.Withdraw("req-000001")
@@ -784,9 +785,7 @@
 		}
 		c.w.CloudDown = false
 		c.known("req-000001", "req-000002")
-		for _, m := range mends {
-			m()
-		}
+		mend()
 		c.untilDone(4*time.Minute, "req-000002")
 	})
 }
@@ -874,28 +873,19 @@
 			c.submit(j, 60)
 		}
 		c.until("hundreds run", 2*time.Minute, func() bool { return len(c.w.Machines()) >= 250 })
-		up := func() bool {
-			for i := range 20 {
-				if len(c.w.On(fmt.Sprintf("req-%06d", 1+i))) != 4 {
-					return false
-				}
+		up := func(refs []string) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(refs, func(ref string) bool { return len(c.w.On(ref)) != 4 })
 			}
-			return true
 		}
-		c.until("all services run", time.Minute, up)
+		c.until("all services run", time.Minute, up(c.jobs[:20]))
 		var mends []func()
 		for i, m := range c.w.Machines() {
 			if i%8 == 0 {
 				mends = append(mends, c.net.Deafen(m))
 			}
 		}
-		old := c.leader()
-		mends = append(mends, c.cut(old, "state", standin.Hold))
-		for _, n := range names {
-			if n != old {
-				mends = append(mends, c.cut(old, n, standin.Hold))
-			}
-		}
+		mends = append(mends, c.leaveWorkers(c.leader()))
 		c.w.Withdraw("req-000001")
 		time.Sleep(40 * time.Second)
 		for _, mend := range mends {
@@ -910,14 +900,7 @@
 			t.Errorf("cancelled, still on %v", on)
 		}
 		c.untilDone(6*time.Minute, c.jobs[20:]...)
-		c.until("the other services run", time.Minute, func() bool {
-			for i := range 19 {
-				if len(c.w.On(fmt.Sprintf("req-%06d", 2+i))) != 4 {
-					return false
-				}
-			}
-			return true
-		})
+		c.until("the other services run", time.Minute, up(c.jobs[1:20]))
 	})
 }
 
