Divide the sockets by need, and close idle connections sooner

A leader held two connections for each machine, one of them idle for two minutes after a command: 2,794 of 4,003 at 1,401 machines, which half as many again would not have had. The limit from the settings is now divided: users' calls at the state service, connections made to us, direct commands. When there are too many of the second the longest idle goes; commands wait for a place. Settings too small to serve with are refused with one line.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"marblehaven/internal/config"
 	"marblehaven/internal/controller"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/peer"
@@ -41,12 +43,18 @@
 	peers      *peer.Group
 	log        *slog.Logger
 	slots      chan struct{}
+	conns      *conns
+	idle       time.Duration // how long a connection is kept idle
 	complaints *wire.Complaints
 }
 
 // NewServer makes the server of a node.
-func NewServer(name string, users *Users, node Node, peers *peer.Group, log *slog.Logger, cs *wire.Complaints) *Server {
-	return &Server{name: name, users: users, node: node, peers: peers, log: log, complaints: cs, slots: make(chan struct{}, tuning.MaxInflight)}
+func NewServer(cfg *config.Config, users *Users, node Node, peers *peer.Group, log *slog.Logger, cs *wire.Complaints) *Server {
+	sockets := cfg.Deployment.Sockets(len(cfg.Peers))
+	reports := time.Duration(cfg.Deployment.Workers.ReportS * float64(time.Second))
+	return &Server{name: cfg.Node, users: users, node: node, peers: peers, log: log, complaints: cs,
+		slots: make(chan struct{}, sockets.Users), conns: newConns(sockets.Incoming),
+		idle: max(tuning.IdleLeast, tuning.IdleReports*reports)}
 }
 
 // Serve answers on the listener until ctx ends.
@@ -55,7 +63,8 @@
 		Handler:           s,
 		ReadHeaderTimeout: tuning.UserDeadline,
 		ReadTimeout:       2 * tuning.UserDeadline,
-		IdleTimeout:       tuning.IdleConn,
+		IdleTimeout:       s.idle,
+		ConnState:         s.conns.track,
 		MaxHeaderBytes:    8 << 10,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,8 @@
 	"os"
 
 	"github.com/BurntSushi/toml"
+
+	"marblehaven/internal/tuning"
 )
 
 // Peer is another controller.
@@ -67,6 +69,26 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// Sockets is how a process divides the sockets that it may have, so that no use
+// starves another.
+type Sockets struct {
+	// Users is for users' calls being worked on, each of which may take one to
+	// the state service.
+	Users int
+	// Incoming is for connections made by users, workers and health checks.
+	Incoming int
+	// Commands is for direct commands to workers.
+	Commands int
+}
+
+// Sockets divides the limit; what a process needs for itself comes off first.
+func (d *Deployment) Sockets(peers int) Sockets {
+	users := min(tuning.MaxInflight, d.Limits.Sockets/tuning.SocketsUsers)
+	left := d.Limits.Sockets - tuning.SocketsOwn - 2*peers - users
+	commands := int(float64(left) * tuning.SocketsCommands)
+	return Sockets{Users: users, Incoming: left - commands, Commands: commands}
+}
+
 // Deployment describes the site.
 type Deployment struct {
 	Count        int         `json:"count"`
@@ -198,6 +220,13 @@
 	if w.CancelS <= w.LeaseS {
 		return errors.New("field deployment.workers.cancel_s: not above lease_s")
 	}
+	// What cannot be served with is said at once; whatever can, starts.
+	if s := d.Sockets(len(c.Peers)); s.Incoming < tuning.SocketsLeast || s.Commands < 1 || s.Users < 1 {
+		return fmt.Errorf("field deployment.limits.sockets: %d is too few to serve with", d.Limits.Sockets)
+	}
+	if d.Limits.MemoryMB < tuning.MemoryLeastMB {
+		return fmt.Errorf("field deployment.limits.memory_mb: %v is too little to serve with, below %d", d.Limits.MemoryMB, tuning.MemoryLeastMB)
+	}
 	if d.State.TxnOps < 4 {
 		return errors.New("field deployment.state.txn_ops: below 4, the changes that end a job")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"marblehaven/internal/tuning"
 )
 
 const good = `{"node":"n-0","domain":"a","api_addr":"10.0.0.1:80","peer_bind":"10.0.0.1:81","unheard_of":1,
@@ -38,6 +40,8 @@
 		{strings.Replace(good, `10.0.0.1:80`, `nowhere`, 1), "", "api_addr"},
 		{strings.Replace(good, `"n-1"`, `"n-0"`, 1), "", "peers[0].node"},
 		{strings.Replace(good, `"cpus":1`, `"cpus":-1`, 1), "", "teams[0]"},
+		{strings.Replace(good, `"sockets":1800`, `"sockets":60`, 1), "", "limits.sockets"},
+		{strings.Replace(good, `"memory_mb":180`, `"memory_mb":8`, 1), "", "limits.memory_mb"},
 		{good, "rho = -1", "rho"},
 		{good, "estimator = \"guess\"", "estimator"},
 		{good, "cloud_call_share = 2.0", "cloud_call_share"},
@@ -55,3 +59,20 @@
 		}
 	}
 }
+
+// The parts of the sockets never make up more than there are, and what serves
+// users and workers gets the most of them.
+func TestSockets(t *testing.T) {
+	for _, n := range []int{200, 1000, 1800, 3000, 4000, 20000} {
+		for _, peers := range []int{2, 4, 6, 10} {
+			d := Deployment{Limits: Limits{Sockets: n}}
+			s := d.Sockets(peers)
+			if sum := s.Incoming + s.Commands + s.Users + 2*peers + tuning.SocketsOwn; sum > n || s.Users < 1 || s.Commands < 1 {
+				t.Errorf("%d sockets, %d peers: %+v", n, peers, s)
+			}
+			if n >= 1000 && s.Incoming < n/2 {
+				t.Errorf("%d sockets, %d peers: only %d for users and workers", n, peers, s.Incoming)
+			}
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -173,6 +173,8 @@
 	CloudBurst = 1.5
 	// CloudTick is the pause between cloud list calls, within the call budget.
 	CloudTick = 3 * time.Second
+	// ListShare is the part of the calls that may be made that goes into lists.
+	ListShare = 0.25
 	// CatalogEvery refreshes prices; they move slowly.
 	CatalogEvery = 30 * time.Second
 	// RentMax and ReturnMax are the limits of PROTOCOL on one call.
@@ -221,21 +223,48 @@
 	// HelloDeadline ends the wait for the leader's answer to a report; workers
 	// drop answers after 4 s.
 	HelloDeadline = 3 * time.Second
-	// IdleConn closes connections nobody has used for so long; users poll and
-	// workers report every few seconds.
+	// IdleConn closes connections nobody has used for so long, but for those
+	// that users and workers make.
 	IdleConn = 120 * time.Second
+	// IdleReports times report_s is how long a connection that was made to us is
+	// kept idle, and IdleLeast the least: users poll about every 5 s. A worker
+	// that left, or reports to another node, must not hold a socket for long.
+	IdleReports = 5
+	IdleLeast   = 20 * time.Second
 	// DialTimeout ends a connection attempt: a host that is cut off is silent.
 	DialTimeout = 1 * time.Second
 	// StateConns and CloudConns are connections kept open when idle: two
 	// follows, a commit and users' calls; the cloud gets a few calls a second.
 	StateConns = 12
 	CloudConns = 2
-	// MaxInflight bounds user requests being worked on at once in one node.
-	MaxInflight = 256
+	// MaxInflight bounds user requests being worked on at once in one node, and
+	// so does the number of its sockets over SocketsUsers: each may take one to
+	// the state service.
+	MaxInflight  = 256
+	SocketsUsers = 6
 	// InboxSize bounds the leader's queue of messages.
 	InboxSize = 1024
+	// SocketsOwn are a process's sockets for itself, beside those for users'
+	// calls at the state service, peers and workers: listeners, the leader's
+	// calls of the state service and the cloud, and what the runtime opens.
+	SocketsOwn = 48
+	// SocketsCommands is the part of the sockets left after these, and after two
+	// for each peer, that direct commands to workers may take, idle ones too. The
+	// rest is for connections made to us: a worker holds one all the time and a
+	// command's only for milliseconds.
+	SocketsCommands = 0.2
+	// SocketsLeast is the least that must be left for connections made to us.
+	SocketsLeast = 32
+	// GreetAtOnce is how many machines are greeted at the same time after a
+	// takeover, production's first: all at once would keep the processor from
+	// the answers that hold their leases.
+	// One that hangs holds its place for DoTimeout.
+	GreetAtOnce = 128
 	// MemoryShare is the part of the memory limit given to the Go runtime.
 	MemoryShare = 0.75
+	// MemoryLeastMB is the least memory to serve with, in MB: the program and the
+	// runtime take half of it when idle.
+	MemoryLeastMB = 64
 	// GCPercent is how much the heap may grow before it is collected, in percent:
 	// processor time is scarcer than memory, which has its own limit above.
 	GCPercent = 400
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -11,17 +11,28 @@
 )
 
 // Client sends commands; it is safe for concurrent use.
-type Client struct{ caller wire.Caller }
+type Client struct {
+	caller wire.Caller
+	slots  chan struct{}
+}
 
-// New makes a client over the given transport.
-func New(rt http.RoundTripper, cs *wire.Complaints) *Client {
-	return &Client{wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}}
+// New makes a client over the given transport that has at most so many commands
+// under way at once: a hundred machines that hang take a socket each until the
+// commands to them are given up.
+func New(rt http.RoundTripper, cs *wire.Complaints, atOnce int) *Client {
+	return &Client{wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}, make(chan struct{}, max(1, atOnce))}
 }
 
 // Do sends commands to the worker at addr and returns its report after them,
 // executed or refused whole: the report tells. An error means that they may
 // still be executed, even much later.
 func (c *Client) Do(ctx context.Context, addr string, req wire.DoRequest) (*wire.Report, error) {
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	case <-ctx.Done():
+		return nil, ctx.Err() // the term is over, and the command never left
+	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.DoTimeout)
 	defer cancel()
 	rep := new(wire.Report)
--- /dev/null
+++ b/internal/worker/worker_test.go
@@ -0,0 +1,53 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+type silent struct{ now, most atomic.Int32 }
+
+func (s *silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.most.Store(max(s.most.Load(), s.now.Add(1)))
+	<-r.Context().Done()
+	s.now.Add(-1)
+	return nil, r.Context().Err()
+}
+
+// A hundred machines hang at once: commands to them take a bounded number of
+// sockets, each is tried all the same, and none holds its place for longer than
+// one command may take.
+func TestCommandsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silent{}
+		c := New(s, wire.NewComplaints(slog.New(slog.DiscardHandler)), 20)
+		start := time.Now()
+		done := make(chan error)
+		for range 100 {
+			go func() {
+				_, err := c.Do(t.Context(), "m:1", wire.DoRequest{})
+				done <- err
+			}()
+		}
+		for range 100 {
+			if err := <-done; !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("unexpected outcome: %v", err)
+			}
+		}
+		if s.most.Load() > 20 {
+			t.Errorf("%d commands at once", s.most.Load())
+		}
+		if took := time.Since(start); took > 5*tuning.DoTimeout+time.Second {
+			t.Errorf("took %v", took)
+		}
+	})
+}
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -63,7 +63,7 @@
 		return fmt.Errorf("field peer_bind: %w", err)
 	}
 	n, err := newNode(cfg, log, links{
-		state: transport(tuning.StateConns), cloud: transport(tuning.CloudConns), workers: transport(1), peer: peer.Dial,
+		state: transport(tuning.StateConns), cloud: transport(tuning.CloudConns), workers: workerTransport(cfg.Deployment.Sockets(len(cfg.Peers)).Commands), peer: peer.Dial,
 	})
 	if err != nil {
 		return fmt.Errorf("field peers: %w", err)
@@ -92,14 +92,14 @@
 	cs := wire.NewComplaints(log)
 	n.store = statestore.New(cfg.Services.State, l.state, cs)
 	n.cloud = cloud.New(cfg.Services.Cloud, l.cloud, cs, cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
-	n.workers = worker.New(l.workers, cs)
+	n.workers = worker.New(l.workers, cs, cfg.Deployment.Sockets(len(cfg.Peers)).Commands/2)
 	n.keeper = election.New(n.store, cfg.Node, log)
 	n.users = api.NewUsers(cfg, n.store, log)
 	var err error
 	if n.peers, err = peer.NewGroup(cfg.Peers, l.peer, n, log); err != nil {
 		return nil, err
 	}
-	n.api = api.NewServer(cfg.Node, n.users, n, n.peers, log, cs)
+	n.api = api.NewServer(cfg, n.users, n, n.peers, log, cs)
 	return n, nil
 }
 
@@ -132,6 +132,15 @@
 	}
 }
 
+// workerTransport keeps a connection to each worker, as far as the sockets go:
+// half of them may be idle, half in use.
+func workerTransport(sockets int) *http.Transport {
+	t := transport(1)
+	t.MaxIdleConns = max(1, sockets/2)
+	t.IdleConnTimeout = tuning.IdleLeast
+	return t
+}
+
 // learnTypes finds out once which machine types there are: from the leader's
 // copy, so that the cloud's call budget is not spent by every node, or from
 // the cloud.
