Greet, return and list machines by need at a fleet's size

All machines were greeted at once after a takeover, each batch of returned machines retried by itself, and a list took five calls every three seconds at 2,100 machines. The inbox is as long as there may be connections, so no report is refused.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -23,6 +23,7 @@
 	d.Workers = config.Workers{ReportS: 2.5, LeaseS: 12, GangWaitS: 35, GangPeerS: 4, CancelS: 37}
 	d.State = config.State{RPS: 250, WriteRPS: 25, ValueKB: 32, TxnOps: 20}
 	d.Cloud = config.Cloud{RPS: 4, ListLagS: 10}
+	d.Limits = config.Limits{CPUShare: 0.1, MemoryMB: 200, Sockets: 4000}
 	for i := range 10 {
 		d.Teams = append(d.Teams, config.Team{Name: fmt.Sprint("t", i), Cores: 900, CoresMax: 10000})
 	}
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -327,31 +327,52 @@
 
 // giveBack returns machines on which nothing can be, or which are lost: the
 // cloud's answer proves that all on them is gone.
-func (c *Controller) giveBack(ms []*fleet.Machine, why string) {
-	for len(ms) > 0 {
-		part := ms[:min(len(ms), tuning.ReturnMax)]
-		ms = ms[len(part):]
-		ids := make([]string, len(part))
-		for i, m := range part {
-			m.Leaving = true
-			ids[i] = m.ID
-		}
-		c.Log.Info("returning machines", "why", why, "machines", ids)
-		go func() {
-			err := c.Cloud.Return(c.ctx, ids)
-			for err != nil && pause.For(c.ctx, tuning.MachineBackoff) {
-				err = c.Cloud.Return(c.ctx, ids)
-			}
-			c.send(returnMsg{part, err})
-		}()
+func (c *Controller) giveBack(ms []*fleet.Machine, why string, now time.Time) {
+	if len(ms) == 0 {
+		return
+	}
+	ids := make([]string, len(ms))
+	for i, m := range ms {
+		m.Leaving = true
+		ids[i] = m.ID
+	}
+	c.Log.Info("returning machines", "why", why, "machines", ids)
+	c.toReturn = append(c.toReturn, ms...)
+	c.returnNext(now)
+}
+
+// returnNext calls the cloud for what is to be given back. One call is under way
+// at a time, and what comes meanwhile goes into the next: hundreds of machines,
+// each returned and retried by itself, took the calls from the rentals. Those
+// with tasks go first, which start elsewhere only after the answer.
+func (c *Controller) returnNext(now time.Time) {
+	if len(c.returning) > 0 || len(c.toReturn) == 0 || now.Before(c.returnAfter) {
+		return
 	}
+	slices.SortStableFunc(c.toReturn, func(a, b *fleet.Machine) int {
+		return cmp.Compare(min(1, len(b.Live)), min(1, len(a.Live)))
+	})
+	n := min(len(c.toReturn), tuning.ReturnMax)
+	c.returning, c.toReturn = c.toReturn[:n:n], slices.Clone(c.toReturn[n:])
+	ids := make([]string, n)
+	for i, m := range c.returning {
+		ids[i] = m.ID
+	}
+	go func() { c.send(returnMsg{c.Cloud.Return(c.ctx, ids)}) }()
 }
 
 func (c *Controller) onReturn(r returnMsg, now time.Time) {
+	ms := c.returning
+	c.returning = nil
+	defer c.returnNext(now)
 	if r.err != nil {
+		// It may have been carried out; names that are gone are ignored.
+		c.Log.Info("returning machines failed", "machines", len(ms), "err", r.err)
+		c.toReturn = append(c.toReturn, ms...)
+		c.returnAfter = now.Add(tuning.MachineBackoff)
 		return
 	}
-	for _, m := range r.ms {
+	for _, m := range ms {
 		var ended []fleet.Ended
 		for _, p := range m.Live {
 			ended = append(ended, fleet.Ended{Placement: p})
@@ -390,12 +411,12 @@
 		if !m.Up && m.Addr == "" && lm.Addr != "" && lm.State != wire.MachineStarting {
 			m.Addr = lm.Addr
 		}
-		c.greet(m, now)
 		if lm.State == wire.MachineFailed && !m.Leaving {
 			failed = append(failed, m)
 		}
 	}
-	c.giveBack(failed, "failed")
+	c.giveBack(failed, "failed", now)
+	c.planGreets(now)
 	for _, cl := range c.claims {
 		if !cl.settled || cl.drop {
 			continue
@@ -411,6 +432,14 @@
 	}
 }
 
+// listPause is the pause to the next list, of which each page is a call: at most
+// a part of the calls that may be made goes into lists.
+func (c *Controller) listPause() time.Duration {
+	pages := float64(len(c.machines)/tuning.ListMax + 1)
+	calls := c.Config.Deployment.Cloud.RPS * c.Config.Operator.CallBudget
+	return max(tuning.CloudTick, seconds(pages/(calls*tuning.ListShare)))
+}
+
 func (c *Controller) onCatalog(m catalogMsg, _ time.Time) {
 	if m.types != nil {
 		c.setTypes(m.types)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -55,6 +56,7 @@
 		m      *fleet.Machine
 		rep    *wire.Report
 		starts bool
+		greets bool
 		err    error
 	}
 	commitMsg struct {
@@ -80,10 +82,7 @@
 		hosts []string
 		err   error
 	}
-	returnMsg struct {
-		ms  []*fleet.Machine
-		err error
-	}
+	returnMsg struct{ err error }
 	statusMsg struct{ reply chan Status }
 )
 
@@ -137,6 +136,11 @@
 	passTook    time.Duration           // how long it took
 	changed     bool                    // something that decisions depend on has changed
 	touched     map[*fleet.Machine]bool // have something to be sent
+	toGreet     []*fleet.Machine        // see planGreets
+	greeting    int                     // greetings under way
+	toReturn    []*fleet.Machine        // to be given back
+	returning   []*fleet.Machine        // in the call that is under way
+	returnAfter time.Time
 	summarized  time.Time
 	lateLogged  time.Time
 	status      Status
@@ -161,8 +165,11 @@
 	floor := term.N << tuning.BatonShift
 	wr := st.WriteRPS * tuning.LeaderWriteShare
 	return &Controller{
-		Deps: d, term: term, inbox: make(chan any, tuning.InboxSize),
-		jobs: map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, closed: map[string]time.Time{}, hints: map[string]*ledger.Hint{}, touched: map[*fleet.Machine]bool{},
+		Deps: d, term: term,
+		// A report that waits holds a connection, so that none is refused here:
+		// after a takeover all workers report at once.
+		inbox: make(chan any, d.Config.Deployment.Sockets(len(d.Config.Peers)).Incoming),
+		jobs:  map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, closed: map[string]time.Time{}, hints: map[string]*ledger.Hint{}, touched: map[*fleet.Machine]bool{},
 		floor: floor, cardRank: -1, claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
 		est:     estimator{off: d.Config.Operator.Estimator == "user", classes: map[string]*classRuns{}},
 		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), st.TxnOps)),
@@ -733,26 +740,76 @@
 	}
 	m.Outbox = m.Outbox[:0]
 	if len(orders) > 0 {
-		c.do(m, orders, m.Session, starts)
+		c.do(m, orders, m.Session, starts, false)
 	}
 }
 
+// planGreets lists the machines that are to be greeted: those not tried yet, of
+// these the ones with production work, then those with other work. After a
+// takeover that is the whole fleet, and one after another takes the processor's
+// time from what holds the leases.
+func (c *Controller) planGreets(now time.Time) {
+	type due struct {
+		m     *fleet.Machine
+		order int
+	}
+	var dues []due
+	for _, m := range c.sorted {
+		if !c.unmet(m, now) {
+			continue
+		}
+		d := due{m, 2}
+		for k := range m.Live {
+			d.order = min(d.order, 1)
+			if j := c.jobs[k.Job]; j != nil && j.rank() == 0 {
+				d.order = 0
+				break
+			}
+		}
+		if !m.GreetAt.IsZero() {
+			d.order += 3
+		}
+		dues = append(dues, d)
+	}
+	slices.SortStableFunc(dues, func(a, b due) int { return cmp.Compare(a.order, b.order) })
+	c.toGreet = c.toGreet[:0]
+	for _, d := range dues {
+		c.toGreet = append(c.toGreet, d.m)
+	}
+	c.greetNext(now)
+}
+
+// greetNext greets as many as may be greeted at once.
+func (c *Controller) greetNext(now time.Time) {
+	for len(c.toGreet) > 0 && c.greeting < tuning.GreetAtOnce {
+		m := c.toGreet[0]
+		c.toGreet = c.toGreet[1:]
+		c.greet(m, now)
+	}
+}
+
+// unmet tells whether a machine runs and has not seen the term's token.
+func (c *Controller) unmet(m *fleet.Machine, now time.Time) bool {
+	return !m.InFlight && !m.Leaving && m.Addr != "" && m.Shown < c.token() && !now.Before(m.GreetAt)
+}
+
 // greet shows the term's token to a machine that runs but has not reported yet,
 // so that a new leader need not wait for its next report. A first call with the
 // wrong tenure is refused, and the refusal names the right one.
 func (c *Controller) greet(m *fleet.Machine, now time.Time) {
-	if m.InFlight || m.Leaving || m.Addr == "" || m.Shown >= c.token() || now.Before(m.GreetAt) {
+	if !c.unmet(m, now) {
 		return
 	}
 	m.GreetAt = now.Add(tuning.GreetEvery)
+	c.greeting++
 	session := m.Session
 	for _, p := range m.Live {
 		session = max(session, p.Session)
 	}
-	c.do(m, nil, max(session, 1), false)
+	c.do(m, nil, max(session, 1), false, true)
 }
 
-func (c *Controller) do(m *fleet.Machine, orders []wire.Order, session uint64, starts bool) {
+func (c *Controller) do(m *fleet.Machine, orders []wire.Order, session uint64, starts, greets bool) {
 	m.InFlight = true
 	if orders == nil {
 		orders = []wire.Order{}
@@ -760,12 +817,16 @@
 	req, addr := wire.DoRequest{Token: m.Token, Session: session, Orders: orders}, m.Addr
 	go func() {
 		rep, err := c.Worker.Do(c.ctx, addr, req)
-		c.send(doMsg{m, rep, starts, err})
+		c.send(doMsg{m, rep, starts, greets, err})
 	}()
 }
 
 func (c *Controller) onDo(d doMsg, now time.Time) {
 	d.m.Answered(d.starts, d.err == nil)
+	if d.greets {
+		c.greeting--
+		defer c.greetNext(now)
+	}
 	c.touched[d.m] = true
 	if d.err != nil {
 		// The commands may still be executed, even minutes later.
--- /dev/null
+++ b/internal/controller/fleet_test.go
@@ -0,0 +1,140 @@
+package controller
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marblehaven/internal/cloud"
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+	"marblehaven/internal/worker"
+)
+
+// calls notes the calls that come and answers when told to.
+type calls struct {
+	mu     sync.Mutex
+	hosts  []string
+	answer chan struct{}
+}
+
+func (c *calls) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.mu.Lock()
+	c.hosts = append(c.hosts, r.URL.Hostname())
+	c.mu.Unlock()
+	select {
+	case <-c.answer:
+		return &http.Response{StatusCode: 503, Body: http.NoBody}, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+func (c *calls) seen() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.hosts)
+}
+
+// A new leader greets thousands of machines: not all at once, which would take
+// the processor's time from the answers that hold their leases, and those with
+// production first.
+func TestGreetsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, now := large(2100, 1000)
+		w := &calls{answer: make(chan struct{})}
+		defer close(w.answer)
+		c.Worker = worker.New(w, wire.NewComplaints(c.Log), 5000)
+		c.term.N++ // a leader that has seen none of them yet
+		production := map[string]bool{}
+		for i, m := range c.sorted {
+			m.Addr = m.ID + ":1"
+			if i%50 == 49 {
+				production[m.ID] = true
+				for k := range m.Live {
+					c.jobs[k.Job].desc.Rank = wire.Production
+				}
+			}
+		}
+		for _, m := range c.sorted { // a job is on several machines
+			for k := range m.Live {
+				production[m.ID] = production[m.ID] || c.jobs[k.Job].rank() == 0
+			}
+		}
+		c.planGreets(now)
+		synctest.Wait()
+		first := w.seen()
+		if len(first) != tuning.GreetAtOnce {
+			t.Fatalf("%d greeted at once", len(first))
+		}
+		for _, id := range first {
+			if !production[id] {
+				t.Fatalf("%s came before production's machines", id)
+			}
+		}
+		// The first hang, and hold nothing up for longer than a command may take.
+		for len(c.toGreet) > 0 || c.greeting > 0 {
+			c.handle(<-c.inbox)
+		}
+		if n := len(w.seen()); n < 2100 {
+			t.Errorf("%d of 2100 were greeted", n)
+		}
+		c.planGreets(time.Now())
+		synctest.Wait()
+		if c.greeting != tuning.GreetAtOnce {
+			t.Errorf("%d are greeted again", c.greeting)
+		}
+	})
+}
+
+// Hundreds of machines to be given back, some at a time, take one call at a
+// time, with what came meanwhile in the next, and those with tasks first: each
+// by itself, retried by itself, would take all calls from the rentals.
+func TestReturnsTakeFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, now := large(350, 30)
+		w := &calls{answer: make(chan struct{})}
+		c.Cloud = cloud.New("cloud:1", w, wire.NewComplaints(c.Log), 1000)
+		for i := 0; i < 350; i += 10 {
+			c.giveBack(c.sorted[i:i+10], "test", now)
+		}
+		synctest.Wait()
+		if n := len(w.seen()); n != 1 {
+			t.Fatalf("%d calls at once", n)
+		}
+		var idle []*fleet.Machine
+		for i, m := range c.sorted[200:] {
+			if i%2 == 0 {
+				clear(m.Live)
+				idle = append(idle, m)
+			}
+		}
+		w.answer <- struct{}{}
+		c.handle(<-c.inbox) // failed: they are tried again after a while, with the rest
+		if len(c.returning) > 0 {
+			t.Error("called again at once")
+		}
+		time.Sleep(tuning.MachineBackoff)
+		c.returnNext(time.Now())
+		var order []*fleet.Machine
+		for len(c.machines) > 0 {
+			synctest.Wait()
+			order = append(order, c.returning...)
+			if n := len(c.returning); n == 0 || n > tuning.ReturnMax {
+				t.Fatalf("%d in a call", n)
+			}
+			c.onReturn(returnMsg{}, time.Now())
+		}
+		if slices.ContainsFunc(order[:350-len(idle)], func(m *fleet.Machine) bool { return slices.Contains(idle, m) }) {
+			t.Error("idle machines went before those with tasks")
+		}
+		if len(order) != 350 {
+			t.Errorf("%d given back", len(order))
+		}
+		close(w.answer)
+	})
+}
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -74,7 +74,8 @@
 	r := fullReport(c, 0, 7)
 	r.Token, r.Tasks = m.Token, nil
 	c.onHello(r, now)
-	c.onReturn(returnMsg{ms: []*fleet.Machine{m}}, now)
+	c.returning = []*fleet.Machine{m}
+	c.onReturn(returnMsg{}, now)
 	if c.onHello(r, now); c.machines["m-000000"] != nil {
 		t.Error("a copy revived a machine just given back")
 	}
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -57,19 +57,20 @@
 			lost = append(lost, m)
 		}
 		c.drain(m, now)
-		c.greet(m, now)
 		if len(m.Outbox) > 0 {
 			c.touched[m] = true
 		}
 	}
 	c.dispatchAll(now)
+	c.planGreets(now)
+	c.returnNext(now)
 	// Slack is spent and idle machines age by time alone.
 	c.changed = true
-	c.giveBack(lost, "silent, taken or faulty")
-	c.giveBack(stuck, "never came up")
+	c.giveBack(lost, "silent, taken or faulty", now)
+	c.giveBack(stuck, "never came up", now)
 	if !c.listing && now.After(c.nextList) {
 		c.listing = true
-		c.nextList = now.Add(tuning.CloudTick)
+		c.nextList = now.Add(c.listPause())
 		go func() {
 			ms, err := c.Cloud.List(c.ctx)
 			c.send(listMsg{ms, err})
@@ -259,7 +260,7 @@
 	for _, i := range plan.Returns {
 		back = append(back, machines[i])
 	}
-	c.giveBack(back, "idle")
+	c.giveBack(back, "idle", now)
 	if now.Sub(c.summarized) >= tuning.StatusEvery {
 		c.summarized = now
 		c.summarize(snap, jobs, plan, now)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -242,8 +242,6 @@
 	// the state service.
 	MaxInflight  = 256
 	SocketsUsers = 6
-	// InboxSize bounds the leader's queue of messages.
-	InboxSize = 1024
 	// SocketsOwn are a process's sockets for itself, beside those for users'
 	// calls at the state service, peers and workers: listeners, the leader's
 	// calls of the state service and the cloud, and what the runtime opens.
