--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -343,15 +343,6 @@
 	})
 	demand := make([]sched.Res, len(s.Teams))
 	jobIdx := make(map[string]int, len(jobs))
-	// The machines that gangs gather on, with cards and without, and in how many
-	// zones they are.
-	slots, zones := map[bool]float64{}, 1
-	for _, m := range c.machines {
-		if ti, ok := c.typeIdx[m.Type]; ok && !m.Leaving {
-			slots[c.types[ti].Cards > 0]++
-			zones = max(zones, len(c.types[ti].Zones))
-		}
-	}
 	s.Jobs = make([]sched.Job, 0, len(jobs))
 	for i, j := range jobs {
 		ti := teamIdx[j.desc.Team]
@@ -371,10 +362,6 @@
 		if sj.DueS, onStart = c.dueIn(j, est, guaranteed, now); onStart {
 			sj.Counts = float64(j.desc.Tasks)
 		}
-		if !j.begun() {
-			age := now.Sub(j.at).Seconds()
-			sj.OverdueS, sj.TooLate = max(0, age-mayWait(j, est, slots[need.Cards > 0], zones)), age > tuning.MustBegin
-		}
 		if room := c.maxLive - len(j.live); sj.Waiting > room {
 			// More would not fit into the run record, and a gang starts whole.
 			sj.Waiting = max(0, room)
@@ -401,6 +388,9 @@
 	s.Machines = make([]sched.Machine, 0, len(c.sorted))
 	arena := make([]sched.Running, 0, c.lastRunning+len(c.sorted))
 	unsettled := 0
+	// The machines that gangs gather on, with cards and without, and in how many
+	// zones they are.
+	slots, zones := map[bool]float64{}, 1
 	var fetching []string
 	for _, m := range c.sorted {
 		ti, ok := c.typeIdx[m.Type]
@@ -414,6 +404,10 @@
 		if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
 			unsettled++
 		}
+		if !m.Leaving {
+			slots[s.Types[ti].Total.Cards > 0]++
+			zones = max(zones, len(s.Types[ti].Zones))
+		}
 		first := len(arena)
 		fetching = fetching[:0]
 		for k, p := range m.Live {
@@ -453,6 +447,12 @@
 		machines = append(machines, m)
 	}
 	c.lastRunning = len(arena)
+	for i, j := range jobs {
+		if sj := &s.Jobs[i]; !j.begun() {
+			age := now.Sub(j.at).Seconds()
+			sj.OverdueS, sj.TooLate = max(0, age-mayWait(j, sj.EstimateS, slots[sj.Need.Cards > 0], zones)), age > tuning.MustBegin
+		}
+	}
 	for _, cl := range c.claims {
 		// Asked for and not answered: this room counts as coming.
 		if ti, ok := c.typeIdx[cl.Type]; ok && !cl.settled {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -184,7 +184,7 @@
 	slices.SortStableFunc(idx, func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
 		if first[a] && first[b] {
-			return cmp.Or(cmpBool(x.Rank == 0, y.Rank == 0), cmpBool(!x.TooLate, !y.TooLate), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
+			return overdue(x, y) // production is never among them
 		}
 		return cmp.Or(group(a, b), cmp.Compare(x.DueS, y.DueS), cmp.Compare(x.Ref, y.Ref))
 	})
@@ -216,12 +216,7 @@
 			old = append(old, i)
 		}
 	}
-	// Those that are too late anyway come behind those that can still begin in
-	// time: in a long overload the others would all be too late by a little.
-	slices.SortFunc(old, func(a, b int) int {
-		x, y := &s.Jobs[a], &s.Jobs[b]
-		return cmp.Or(cmpBool(!x.TooLate, !y.TooLate), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
-	})
+	slices.SortFunc(old, func(a, b int) int { return overdue(&s.Jobs[a], &s.Jobs[b]) })
 	leftCores, leftCards := cores*s.OverdueShare, cards*s.OverdueShare
 	idle := cores * s.OverdueShareIdle // of the lowest rank, with what of it runs
 	for i := range s.Jobs {
@@ -251,6 +246,13 @@
 	return first
 }
 
+// overdue orders jobs that have waited too long, the longest first. Those that
+// are too late anyway come behind those that can still begin in time: in a long
+// overload the others would all be too late by a little.
+func overdue(x, y *Job) int {
+	return cmp.Or(cmpBool(!x.TooLate, !y.TooLate), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
+}
+
 // work is what is left to do of the job, in need times seconds.
 func (j *Job) work(need float64) float64 {
 	return (float64(j.Waiting) + float64(j.Live)/2) * j.EstimateS * need
@@ -521,7 +523,7 @@
 		if gang {
 			in, n = p.gather(ji, n, keepOff)
 		} else {
-			n -= p.place(ji, n, zones, keepOff, gang, coming)
+			n -= p.place(ji, n, zones, keepOff, false, coming)
 		}
 		if slack > 0 || n == 0 {
 			continue
@@ -650,6 +652,12 @@
 	return (len(d.Types) == 0 || slices.Contains(d.Types, p.s.Types[m.Type].Name)) && (!m.Spot || d.Spot)
 }
 
+// eligible tells whether tasks of the job may be on the machine, where those it
+// has are in the given zones and need a machine of their own.
+func (p *planner) eligible(m *Machine, d *wire.Job, zones map[string]int, keepOff bool) bool {
+	return p.allowed(m, d) && ZoneRoom(d, zones, m.Zone) > 0 && !(keepOff && p.s.Types[m.Type].Total.Cards > 0)
+}
+
 // room is how many tasks of the job the machine takes now. Work that does not
 // need cards gets on a machine with cards what its card work leaves over; where
 // no card is in use it gets all, if it ranks below the work with cards and can
@@ -818,13 +826,14 @@
 	return got
 }
 
+// anywhere is the zone of a gang without need for one.
+const anywhere = ""
+
 // gather looks for the zone in which the most room for a gang is free or coming,
 // and returns it with the number of tasks that find none there. What is coming
 // is counted against the gang. If the gang has waited too long, what is free and
 // coming is kept for it: otherwise smaller ones take every machine that falls
 // free, and it never starts (all its machines must be free at once).
-const anywhere = "" // of a gang without need for one zone
-
 func (p *planner) gather(ji, n int, keepOff bool) (zone string, missing int) {
 	j := &p.s.Jobs[ji]
 	d := j.Desc
@@ -837,7 +846,7 @@
 	}
 	for i := range p.pool {
 		m := &p.pool[i]
-		if !p.allowed(m, d) || ZoneRoom(d, nil, m.Zone) == 0 || (keepOff && p.s.Types[m.Type].Total.Cards > 0) {
+		if !p.eligible(m, d, nil, keepOff) {
 			continue
 		}
 		whole[key(m)] += p.s.Types[m.Type].Total.Slots(j.Need)
@@ -880,7 +889,7 @@
 		if left == 0 {
 			break
 		}
-		if key(m) != zone || !(m.Ready || m.Coming) || !p.allowed(m, d) || ZoneRoom(d, nil, m.Zone) == 0 || (keepOff && p.s.Types[m.Type].Total.Cards > 0) {
+		if key(m) != zone || !(m.Ready || m.Coming) || !p.eligible(m, d, nil, keepOff) {
 			continue
 		}
 		k := min(left, m.Free.Slots(j.Need))
@@ -921,7 +930,7 @@
 	var found []victim
 	for _, i := range p.victims {
 		m := &p.pool[i]
-		if !m.Ready || !p.allowed(m, j.Desc) || (keepOff && p.s.Types[m.Type].Total.Cards > 0) || ZoneRoom(j.Desc, zones, m.Zone) == 0 || (cached && !m.has(j.Desc.Image)) {
+		if !m.Ready || !p.eligible(m, j.Desc, zones, keepOff) || (cached && !m.has(j.Desc.Image)) {
 			continue
 		}
 		free, cost, rank := m.Free, 0.0, LowestRank
