Give back machines that answer nothing, for their production's sake

Ruled out: the takeover itself (all others were usable 1.3 s after the term began).

A silent machine with production is called directly; two calls without an answer and it is given back, unless more than 0.4 of its zone is silent, as in a cut.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -759,12 +759,11 @@
 			continue
 		}
 		d := due{m, 2}
-		for k := range m.Live {
-			d.order = min(d.order, 1)
-			if j := c.jobs[k.Job]; j != nil && j.rank() == 0 {
-				d.order = 0
-				break
-			}
+		switch {
+		case c.production(m):
+			d.order = 0
+		case len(m.Live) > 0:
+			d.order = 1
 		}
 		if !m.GreetAt.IsZero() {
 			d.order += 3
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -99,18 +99,33 @@
 // presumedLost picks silent machines whose tasks need not wait for the lease:
 // giving a machine back proves that they are gone. A machine whose notice is
 // over is one; so are a few that fell silent alone. Where many are silent it is
-// the link that failed, not they.
+// the link that failed, not they: but production does not wait for its lease on a
+// machine that answers no direct call either, unless most of its zone is silent.
 func (c *Controller) presumedLost(now time.Time) map[*fleet.Machine]bool {
 	out := map[*fleet.Machine]bool{}
 	interval := seconds(c.Config.Deployment.Workers.ReportS)
-	var alone []*fleet.Machine
+	var alone, dead []*fleet.Machine
 	up := 0
+	inZone, silentIn := map[string]int{}, map[string]int{}
 	for _, m := range c.machines {
-		if !m.Up || m.Leaving || m.Shown < c.token() {
+		if m.Leaving || !m.Up && len(m.Live) == 0 {
 			continue
 		}
-		up++
 		silent := now.Sub(m.LastReport)
+		if !m.Up {
+			silent = now.Sub(c.takeover) // it was heard by an earlier leader at best
+		}
+		inZone[m.Zone]++
+		if silent > interval*3/2 {
+			silentIn[m.Zone]++
+			if c.production(m) {
+				dead = append(dead, m)
+			}
+		}
+		if m.Shown < c.token() {
+			continue
+		}
+		up++
 		switch {
 		case !m.NoticeEnd.IsZero() && now.After(m.NoticeEnd) && silent > interval*3/2:
 			out[m] = true
@@ -118,6 +133,19 @@
 			alone = append(alone, m)
 		}
 	}
+	for _, m := range dead {
+		if float64(silentIn[m.Zone]) > max(1, float64(inZone[m.Zone])*tuning.SilentZone) {
+			continue
+		}
+		switch {
+		case m.Unanswered >= tuning.SilentCalls:
+			out[m] = true
+		case m.Addr == "": // not listed either, so there is nothing to call
+			out[m] = c.listed && now.Sub(c.takeover) > seconds(c.Config.Deployment.Workers.ReportS*tuning.SilentLost)
+		case !m.InFlight:
+			c.do(m, nil, max(m.Session, 1), false, false)
+		}
+	}
 	if len(alone) > max(1, int(float64(up)*tuning.SilentFew)) {
 		return out
 	}
@@ -130,6 +158,16 @@
 	return out
 }
 
+// production tells whether the machine has player-facing services.
+func (c *Controller) production(m *fleet.Machine) bool {
+	for k := range m.Live {
+		if j := c.jobs[k.Job]; j != nil && j.rank() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // cutOff tells whether this leader hears next to nothing of the machines although
 // the state service keeps it in its term. Their leases run out all together, while
 // another node may well hear them.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,6 +63,7 @@
 	Up           bool      // has reported
 	Leaving      bool      // is being given back
 	InFlight     bool      // a direct command is under way
+	Unanswered   int       // direct commands in a row without an answer or a report since
 	Alien        int       // reported tasks that we have no record of and that still run
 	Faulty       bool
 	WasUsable    bool // as last looked at
@@ -204,7 +205,7 @@
 	}
 	same := !newSession && m.matched && r.Token == m.Shown && m.sameTasks(r.Tasks)
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
-	m.Session, m.Seq, m.Up, m.LastReport = r.Session, r.Seq, true, now
+	m.Session, m.Seq, m.Up, m.LastReport, m.Unanswered = r.Session, r.Seq, true, now, 0
 	m.Shown = max(m.Shown, r.Token)
 	if r.Notice != nil {
 		m.NoticeEnd = now.Add(time.Duration(*r.Notice * float64(time.Second)))
@@ -319,6 +320,11 @@
 // was shown. If the outcome is unknown, no new work is given before that.
 func (m *Machine) Answered(starts, known bool) {
 	m.InFlight = false
+	if known {
+		m.Unanswered = 0
+	} else {
+		m.Unanswered++
+	}
 	if starts || !known {
 		m.Token++
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -134,6 +134,13 @@
 	return out
 }
 
+// Zone is a machine's zone.
+func (w *World) Zone(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machines[id].zone
+}
+
 // Kill takes a machine away without a word.
 func (w *World) Kill(id string) {
 	w.mu.Lock()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -147,6 +147,13 @@
 	SilentLost = 3.5
 	// SilentFew is the share of machines that may be silent at once for that.
 	SilentFew = 0.1
+	// SilentCalls is how many direct calls in a row a machine that is silent for
+	// one and a half report intervals must leave unanswered, DoTimeout each, for
+	// its production to be started elsewhere. One may be lost.
+	SilentCalls = 2
+	// SilentZone is the share of a zone's machines that may be silent for that:
+	// beyond it the zone or the link to it is cut, and the work goes on there.
+	SilentZone = 0.4
 	// DeafReports is how many reports in a row may show nothing of a higher token
 	// that the ones before were answered with: one answer may be lost or late.
 	DeafReports = 3
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -663,6 +663,43 @@
 	})
 }
 
+// More machines die at once than a few, as the leader does: production on them
+// does not wait for their leases, nor for what an earlier leader may have
+// answered, but comes back as soon as giving them back has proved that they are
+// gone. (Found on the fleets: an eighth of the replicas were down for a minute.)
+func TestManyMachinesDie(t *testing.T) {
+	for i, with := range []bool{false, true} {
+		run(t, 111+uint64(i), func(c *cluster) {
+			on := func(n int) (all []string) {
+				for i := range n {
+					all = append(all, c.w.On(fmt.Sprintf("req-%06d", 1+i))...)
+				}
+				return all
+			}
+			for i := range 12 {
+				c.submit(standing(1+i, 2), 0)
+			}
+			c.until("all run", 2*time.Minute, func() bool { return len(on(12)) == 24 })
+			time.Sleep(20 * time.Second) // what was rented beyond need is up
+			for _, zone := range []string{"a", "b"} {
+				for _, m := range on(12) {
+					if c.w.Zone(m) == zone {
+						c.w.Kill(m)
+						break
+					}
+				}
+			}
+			if with {
+				c.kill(c.leader())
+			}
+			if len(on(12)) > 22 {
+				t.Fatal("nothing was lost")
+			}
+			c.until("all run again", 16*time.Second, func() bool { return len(on(12)) == 24 })
+		})
+	}
+}
+
 // Two leaders, one of them late: the old one is cut off from everything but
 // its machines' zone, as a zone that is cut off keeps working inside.
 func TestCutOffZone(t *testing.T) {
