--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -98,13 +98,13 @@
 
 // presumedLost picks silent machines whose tasks need not wait for the lease:
 // giving a machine back proves that they are gone. A machine whose notice is
-// over is one; so are a few that fell silent alone. Where many are silent it is
-// the link that failed, not they: but production does not wait for its lease on a
-// machine that answers no direct call either, unless most of its zone is silent.
+// over is one; so is one that answers no direct call either, sooner if production
+// or a gang waits for it, unless much of its zone is silent: then it is the link
+// that failed, and the work goes on there.
 func (c *Controller) presumedLost(now time.Time) map[*fleet.Machine]bool {
 	out := map[*fleet.Machine]bool{}
 	interval := seconds(c.Config.Deployment.Workers.ReportS)
-	var alone, dead []*fleet.Machine
+	var deaf, mute []*fleet.Machine
 	up := 0
 	inZone, silentIn := map[string]int{}, map[string]int{}
 	for _, m := range c.machines {
@@ -118,8 +118,8 @@
 		inZone[m.Zone]++
 		if silent > interval*3/2 {
 			silentIn[m.Zone]++
-			if c.production(m) {
-				dead = append(dead, m)
+			if len(m.Live) > 0 {
+				mute = append(mute, m)
 			}
 		}
 		if m.Shown < c.token() {
@@ -129,35 +129,47 @@
 		switch {
 		case !m.NoticeEnd.IsZero() && now.After(m.NoticeEnd) && silent > interval*3/2:
 			out[m] = true
-		case silent > interval*3/2 || m.Deaf():
-			alone = append(alone, m)
+		case m.Deaf():
+			deaf = append(deaf, m)
 		}
 	}
-	for _, m := range dead {
+	lost := seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentLost)
+	for _, m := range mute {
 		if float64(silentIn[m.Zone]) > max(1, float64(inZone[m.Zone])*tuning.SilentZone) {
 			continue
 		}
+		long := now.Sub(m.LastReport) > lost && now.Sub(c.takeover) > lost
 		switch {
 		case m.Unanswered >= tuning.SilentCalls:
-			out[m] = true
+			out[m] = long || c.urgent(m)
 		case m.Addr == "": // not listed either, so there is nothing to call
-			out[m] = c.listed && now.Sub(c.takeover) > seconds(c.Config.Deployment.Workers.ReportS*tuning.SilentLost)
+			out[m] = long && c.listed
 		case !m.InFlight:
 			c.do(m, nil, max(m.Session, 1), false, false)
 		}
 	}
-	if len(alone) > max(1, int(float64(up)*tuning.SilentFew)) {
-		return out
-	}
-	for _, m := range alone {
-		// A machine whose reports come although nothing reaches it is as lost.
-		if m.Deaf() || len(m.Live) > 0 && now.Sub(m.LastReport) > seconds(c.Config.Deployment.Workers.ReportS*tuning.SilentLost) {
+	// Machines whose reports come although nothing reaches them are as lost, but
+	// where they are many it is the link.
+	if len(deaf) <= max(1, int(float64(up)*tuning.DeafFew)) {
+		for _, m := range deaf {
 			out[m] = true
 		}
 	}
 	return out
 }
 
+// urgent tells whether the machine has what should not wait for its lease: a
+// player-facing service, or a task of a gang, whose others can do nothing
+// meanwhile and whose machines stand idle.
+func (c *Controller) urgent(m *fleet.Machine) bool {
+	for k := range m.Live {
+		if j := c.jobs[k.Job]; j != nil && j.gang() && j.desc.Tasks > 1 {
+			return true
+		}
+	}
+	return c.production(m)
+}
+
 // production tells whether the machine has player-facing services.
 func (c *Controller) production(m *fleet.Machine) bool {
 	for k := range m.Live {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -141,15 +141,15 @@
 	// SilentReports is how many report intervals may pass before a machine is
 	// not given new work.
 	SilentReports = 2.6
-	// SilentLost is how many report intervals a machine that is silent almost
-	// alone may take before it is given back with what is on it; reports come
+	// SilentLost is how many report intervals a silent machine that answers no
+	// direct call either is waited for, if what is on it can wait; reports come
 	// every 0.75 to 1.25 intervals, and after a lost one in about 5 s.
 	SilentLost = 3.5
-	// SilentFew is the share of machines that may be silent at once for that.
-	SilentFew = 0.1
+	// DeafFew is the share of machines that may be deaf at once to be given back.
+	DeafFew = 0.1
 	// SilentCalls is how many direct calls in a row a machine that is silent for
-	// one and a half report intervals must leave unanswered, DoTimeout each, for
-	// its production to be started elsewhere. One may be lost.
+	// one and a half report intervals must leave unanswered, DoTimeout each, to
+	// count as lost. One may be lost itself.
 	SilentCalls = 2
 	// SilentZone is the share of a zone's machines that may be silent for that:
 	// beyond it the zone or the link to it is cut, and the work goes on there.
