Keep machines' images in mind when only their lease ran out

A session that ends takes the tasks of a machine, not its images. After a zone was cut for longer than a lease all images of half the fleet were forgotten, and work started where they had to be fetched.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -225,7 +225,11 @@
 				ended = append(ended, Ended{Placement: p})
 			}
 		}
-		m.images, m.names = nil, nil
+		// A session that ends takes the tasks, not the images, but a new life may
+		// be an empty machine's.
+		if m.reborn {
+			m.images, m.names = nil, nil
+		}
 		// That it lost its lease although its reports were answered shows that
 		// answers do not reach it: it must show a new token before new work.
 		if known || m.reborn {
