Renew the leader's grant without waiting for slow renewals

Ruled out: load (the processor was at a tenth) and resigning (no such line).

Up to four renewals are under way at once, one every 0.4 s.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -177,9 +177,31 @@
 		lead(ctx, held)
 		cancel()
 	}()
-	for pause.For(ctx, tuning.GrantTouch) {
-		err := k.store.Touch(ctx, grant)
-		if !errors.Is(err, statestore.ErrNoLease) {
+	// A touch that takes long must not hold up the next: where one in twenty took
+	// a second and a half the term changed every few seconds.
+	type touch struct {
+		grant uint64
+		err   error
+	}
+	touches := make(chan touch, tuning.TouchesAtOnce)
+	under := 0
+	tick := time.NewTicker(tuning.GrantTouch)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		var t touch
+		select {
+		case <-ctx.Done():
+			continue
+		case <-tick.C:
+			if under < tuning.TouchesAtOnce {
+				under++
+				go func(grant uint64) { touches <- touch{grant, k.store.Touch(ctx, grant)} }(grant)
+			}
+			continue
+		case t = <-touches:
+			under--
+		}
+		if t.grant != grant || !errors.Is(t.err, statestore.ErrNoLease) {
 			continue
 		}
 		// The grant ran out, for instance while this process was held up. If
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -42,6 +42,8 @@
 	MaxOps, MaxValue int
 	// LoseReply picks applied commits that are not answered.
 	LoseReply func() bool
+	// Slow is how long a call waits before it is worked on, by path.
+	Slow func(path string) time.Duration
 	// LoseEvent picks keys whose changes follow calls do not see.
 	LoseEvent func(key string) bool
 }
@@ -153,6 +155,9 @@
 
 // ServeHTTP answers as PROTOCOL says.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Slow != nil {
+		time.Sleep(s.Slow(r.URL.Path))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -37,6 +37,9 @@
 	GrantLife = 1500 * time.Millisecond
 	// GrantTouch is the pause between renewals of the grant: three tries fit.
 	GrantTouch = 400 * time.Millisecond
+	// TouchesAtOnce is how many renewals may be under way at once: with StateTimeout
+	// for each, one goes out every GrantTouch whatever became of those before.
+	TouchesAtOnce = 4
 	// ElectionRetry is the pause after a failed attempt to take the term.
 	ElectionRetry = 250 * time.Millisecond
 	// FollowHold is how long a follow call is held open. Its return is also the
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -449,6 +450,29 @@
 	})
 }
 
+// Now and then a renewal of the leader's grant takes as long as the grant lasts.
+// The next ones go out all the same, so the term does not change. (Found on the
+// fleets: a slow state service cost a term every eight seconds.)
+func TestSlowRenewals(t *testing.T) {
+	run(t, 141, func(c *cluster) {
+		c.submit(standing(1, 2), 0)
+		old := c.terms()
+		var calls atomic.Int64
+		c.w.State.Slow = func(path string) time.Duration {
+			if strings.HasSuffix(path, "/touch") && calls.Add(1)%5 == 0 {
+				return 1450 * time.Millisecond
+			}
+			return 60 * time.Millisecond
+		}
+		time.Sleep(2 * time.Minute)
+		if terms := c.terms(); terms != old {
+			t.Errorf("the term changed %d times", terms-old)
+		}
+		c.submit(sweep(2, "check", 8), 10)
+		c.untilDone(2*time.Minute, "req-000002")
+	})
+}
+
 // In a full outage the leader keeps leases alive, and loses nothing.
 func TestStateOutage(t *testing.T) {
 	run(t, 60, func(c *cluster) {
