--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -116,11 +116,11 @@
 			silent = now.Sub(c.takeover) // it was heard by an earlier leader at best
 		}
 		inZone[m.Zone]++
-		if silent > interval*3/2 {
-			silentIn[m.Zone]++
-			if len(m.Live) > 0 {
-				mute = append(mute, m)
-			}
+		if silent > interval {
+			silentIn[m.Zone]++ // sooner, so that a cut shows before any of it counts as lost
+		}
+		if silent > interval*3/2 && len(m.Live) > 0 {
+			mute = append(mute, m)
 		}
 		if m.Shown < c.token() {
 			continue
