--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -79,9 +79,29 @@
 
 // A decision pass in which nothing can be placed: every machine is full.
 func BenchmarkPassFull(b *testing.B) {
-	c, now := large(1000, 300)
-	b.ReportAllocs()
-	for range b.N {
-		c.decide(now)
+	for _, machines := range []int{1000, 2100} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			c, now := large(machines, 300+machines/10)
+			b.ReportAllocs()
+			for range b.N {
+				c.decide(now)
+			}
+		})
+	}
+}
+
+// What is done twice a second whatever happens, and all machines greeted at a
+// takeover, but for the calls themselves.
+func BenchmarkTick(b *testing.B) {
+	for _, machines := range []int{1000, 2100} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) {
+			c, now := large(machines, 300+machines/10)
+			c.listing, c.catalogAt, c.hintAt = true, now.Add(time.Hour), now.Add(time.Hour)
+			c.greeting = tuning.GreetAtOnce
+			b.ReportAllocs()
+			for range b.N {
+				c.onTick(now)
+			}
+		})
 	}
 }
