--- a/internal/api/conns_test.go
+++ b/internal/api/conns_test.go
@@ -7,6 +7,10 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
 )
 
 // At a fleet's size workers alone can hold all sockets of a process. Then the
@@ -75,3 +79,24 @@
 		t.Errorf("%d connections are counted", len(c.idle))
 	}
 }
+
+// A connection that says nothing is closed long before idle ones are.
+func TestSilentConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &config.Config{}
+	cfg.Deployment.Workers.ReportS, cfg.Deployment.Limits.Sockets = 5, 1000
+	log := slog.New(slog.DiscardHandler)
+	go NewServer(cfg, nil, nil, nil, log, wire.NewComplaints(log)).Serve(t.Context(), ln)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(2 * tuning.UserDeadline))
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Errorf("it is still open: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/cloud/cloud_test.go
@@ -0,0 +1,52 @@
+package cloud
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+
+	"marblehaven/internal/wire"
+)
+
+type pages func(after string) (int, wire.MachineList)
+
+func (p pages) RoundTrip(r *http.Request) (*http.Response, error) {
+	status, page := p(r.URL.Query().Get("after"))
+	b, _ := wire.Marshal(page)
+	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(b))}, nil
+}
+
+// At a fleet's size the list has several pages. Where one of them fails there is
+// no list: a part of one would look like machines that are gone.
+func TestListPages(t *testing.T) {
+	page := func(from int) wire.MachineList {
+		var l wire.MachineList
+		for i := from; i < from+500; i++ {
+			l.Machines = append(l.Machines, wire.ListedMachine{ID: fmt.Sprintf("m-%06d", i)})
+		}
+		l.More = from < 2000
+		return l
+	}
+	fails := -1
+	c := New("cloud:1", pages(func(after string) (int, wire.MachineList) {
+		from := 0
+		if n, _ := fmt.Sscanf(after, "m-%d", &from); n == 1 {
+			from++
+		}
+		if from == fails {
+			return 503, wire.MachineList{}
+		}
+		return 200, page(from)
+	}), wire.NewComplaints(slog.New(slog.DiscardHandler)), 1000)
+	if all, err := c.List(t.Context()); err != nil || len(all) != 2500 || all[2499].ID != "m-002499" {
+		t.Errorf("listed %d machines: %v", len(all), err)
+	}
+	fails = 1500
+	if all, err := c.List(t.Context()); !errors.Is(err, ErrUnavailable) || all != nil {
+		t.Errorf("a page failed: listed %d machines: %v", len(all), err)
+	}
+}
--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -138,3 +138,20 @@
 		close(w.answer)
 	})
 }
+
+// A list may be older than the one before and lack machines that are there: it
+// frees no task, and drops no machine.
+func TestOlderListProvesNothing(t *testing.T) {
+	c, now := large(2100, 200)
+	live := 0
+	for _, m := range c.machines {
+		live += len(m.Live)
+	}
+	c.onList(listMsg{machines: []wire.ListedMachine{{ID: "m-000007", State: wire.MachineStarting}}}, now)
+	for _, m := range c.machines {
+		live -= len(m.Live)
+	}
+	if len(c.machines) != 2100 || live != 0 || len(c.toReturn) > 0 || len(c.returning) > 0 {
+		t.Errorf("%d machines are left, %d tasks less, %d to be returned", len(c.machines), live, len(c.toReturn))
+	}
+}
