--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -155,3 +155,48 @@
 		t.Errorf("%d machines are left, %d tasks less, %d to be returned", len(c.machines), live, len(c.toReturn))
 	}
 }
+
+// A leader that stood still for seconds while its clocks ran on finds every
+// machine silent and every job waiting at once. Its last proof of authority is as
+// old: it decides nothing, gives nothing back, calls nobody and keeps its term to
+// itself until the state service has spoken.
+func TestStandingStill(t *testing.T) {
+	free := func(c *Controller) {
+		for _, m := range c.sorted[:50] {
+			for _, p := range m.Live {
+				delete(c.jobs[p.Job].live, p.Task)
+			}
+			clear(m.Live)
+		}
+		c.listing, c.listed, c.catalogAt, c.hintAt = true, true, c.takeover.Add(time.Hour), c.takeover.Add(time.Hour)
+	}
+	placed := func(c *Controller) (n int) {
+		for _, m := range c.sorted[:50] {
+			n += len(m.Live)
+		}
+		return n
+	}
+	c, now := large(2100, 1000)
+	free(c)
+	if c.decide(now); placed(c) == 0 {
+		t.Fatal("nothing was to be decided")
+	}
+	c, now = large(2100, 1000)
+	free(c)
+	resigned := false
+	c.Resign = func() { resigned = true }
+	for _, still := range []time.Duration{4, 8, 12} {
+		later := now.Add(still * time.Second)
+		c.onTick(later)
+		c.pass(later)
+		calls := 0
+		for _, m := range c.machines {
+			if m.InFlight {
+				calls++
+			}
+		}
+		if n := placed(c); n > 0 || len(c.toReturn)+len(c.returning)+calls+len(c.claims) > 0 || c.inCommit != nil || resigned {
+			t.Errorf("after %d s: %d placed, %d to be returned, %d called, resigned %v", still, n, len(c.toReturn)+len(c.returning), calls, resigned)
+		}
+	}
+}
