--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"marblehaven/internal/cloud"
+	"marblehaven/internal/config"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -184,6 +185,7 @@
 	c, now = large(2100, 1000)
 	free(c)
 	resigned := false
+	c.Config.Peers, c.heardMost = make([]config.Peer, 4), true
 	c.Resign = func() { resigned = true }
 	for _, still := range []time.Duration{4, 8, 12} {
 		later := now.Add(still * time.Second)
