Set up pairs of replicas in one place of the tests

Two scenarios each submitted twelve services, waited for them and listed where they run. Same assertions; behaviour of the service is untouched.

--- a/scenario_test.go
+++ b/scenario_test.go
@@ -301,6 +301,26 @@
 	}
 }
 
+// pairs submits services of two replicas each and waits until all run; the result
+// lists the machines that they are on.
+func (c *cluster) pairs(n int) func() []string {
+	c.t.Helper()
+	refs := make([]string, n)
+	for i := range refs {
+		j := standing(1+i, 2)
+		refs[i] = j.ID
+		c.submit(j, 0)
+	}
+	on := func() (all []string) {
+		for _, ref := range refs {
+			all = append(all, c.w.On(ref)...)
+		}
+		return all
+	}
+	c.until("all run", 2*time.Minute, func() bool { return len(on()) == 2*n })
+	return on
+}
+
 func TestQuietDay(t *testing.T) {
 	run(t, 1, func(c *cluster) {
 		c.submit(standing(1, 2), 0)
@@ -705,19 +725,10 @@
 func TestManyMachinesDie(t *testing.T) {
 	for i, with := range []bool{false, true} {
 		run(t, 111+uint64(i), func(c *cluster) {
-			on := func(n int) (all []string) {
-				for i := range n {
-					all = append(all, c.w.On(fmt.Sprintf("req-%06d", 1+i))...)
-				}
-				return all
-			}
-			for i := range 12 {
-				c.submit(standing(1+i, 2), 0)
-			}
-			c.until("all run", 2*time.Minute, func() bool { return len(on(12)) == 24 })
+			on := c.pairs(12)
 			time.Sleep(20 * time.Second) // what was rented beyond need is up
 			for _, zone := range []string{"a", "b"} {
-				for _, m := range on(12) {
+				for _, m := range on() {
 					if c.w.Zone(m) == zone {
 						c.w.Kill(m)
 						break
@@ -727,10 +738,10 @@
 			if with {
 				c.kill(c.leader())
 			}
-			if len(on(12)) > 22 {
+			if len(on()) > 22 {
 				t.Fatal("nothing was lost")
 			}
-			c.until("all run again", 16*time.Second, func() bool { return len(on(12)) == 24 })
+			c.until("all run again", 16*time.Second, func() bool { return len(on()) == 24 })
 		})
 	}
 }
@@ -868,27 +879,17 @@
 // were down for half a minute.) Where nobody else can lead it goes on itself.
 func TestLeaderWithoutWorkers(t *testing.T) {
 	run(t, 139, func(c *cluster) {
-		for i := range 12 {
-			c.submit(standing(1+i, 2), 0)
-		}
-		ran := func() string {
-			var on []string
-			for i := range 12 {
-				on = append(on, c.w.On(fmt.Sprintf("req-%06d", 1+i))...)
-			}
-			return strings.Join(on, " ")
-		}
-		c.until("all run", 2*time.Minute, func() bool { return len(strings.Fields(ran())) == 24 })
+		on := c.pairs(12)
 		time.Sleep(5 * time.Second)
-		before, lapses := ran(), c.w.Lapses
+		before, lapses := on(), c.w.Lapses
 		old := c.leader()
 		mend := c.isolate(old, standin.Hold, c.w.Machines()...)
 		time.Sleep(25 * time.Second) // twice a lease
 		if c.leader() == old {
 			t.Error("a leader without workers keeps its term")
 		}
-		if c.w.Lapses > lapses || ran() != before {
-			t.Errorf("%d leases ran out; ran on %s, now on %s", c.w.Lapses-lapses, before, ran())
+		if c.w.Lapses > lapses || !slices.Equal(on(), before) {
+			t.Errorf("%d leases ran out; ran on %s, now on %s", c.w.Lapses-lapses, before, on())
 		}
 		mend()
 		c.submit(sweep(21, "check", 6), 10)
