Extend the leader's authority only past cancellations that it was told of, its own included

Cause, from reading Controller.authority and peer.Group.Confirm: the proof that lets a leader without state service go on answering workers asked the peers only. A cancellation that the leading process itself confirmed, or read to a user, while its follow calls were slow and just before an outage was in no answer, so its tasks ran on for as long as the outage lasted. TestConfirmedBeforeOutage shows it (by the leader itself, by the next leader).

Now every controller remembers the jobs whose cancellation it acknowledged, names them to the leader, and says since when none is missing. The leader stops just those jobs and its authority reaches to the time of the oldest question; before, one confirmation ended the extension, and with it every task on every machine in a long outage. The list is bounded; what was dropped or forgotten by a restart ends the extension.

Also: a task that was saving when its job was cancelled was told to end by one direct command only; the answers to reports repeat it now. A job record that cannot be read as a whole but says that the job is cancelled stops it.

Ruled out by the tests: restarts of the peer that confirmed, once and twice; late answers of peers; a lost answer of the commit and another's read; a commit carried out late; the leader refused alone, with and without its peers. Not shown by a cluster test: the completeness of the own list, which acks_test.go compares with a list of everything.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -46,7 +46,7 @@
 	slots      chan struct{}
 	conns      *conns
 	idle       time.Duration // how long a connection is kept idle
-	turned     atomic.Uint64 // reports that were sent on to another node
+	redirected atomic.Uint64 // reports that were sent on to another node
 	complaints *wire.Complaints
 }
 
@@ -221,9 +221,9 @@
 	if t, ok := s.node.Leader(); ok && t.Node != s.name {
 		to.Leader = t.Node
 	}
-	s.turned.Add(1)
+	s.redirected.Add(1)
 	reply(w, http.StatusMisdirectedRequest, to)
 }
 
-// Turned counts the workers' reports that were not for this node.
-func (s *Server) Turned() uint64 { return s.turned.Load() }
+// Redirected counts the workers' reports that were not for this node.
+func (s *Server) Redirected() uint64 { return s.redirected.Load() }
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -36,15 +36,14 @@
 	Log    *slog.Logger
 
 	types  atomic.Pointer[[]sched.Type]
-	told   atomic.Int64 // ns from start to the last time a user was told of a cancellation
-	start  time.Time
+	acks   acknowledged
 	mu     sync.Mutex // guards finals
 	finals map[string]wire.JobStatus
 }
 
 // NewUsers makes the users' side of a node.
 func NewUsers(c *config.Config, store *statestore.Client, log *slog.Logger) *Users {
-	return &Users{Config: c, Store: store, Log: log, start: time.Now(), finals: map[string]wire.JobStatus{}}
+	return &Users{Config: c, Store: store, Log: log, acks: newAcknowledged(time.Now()), finals: map[string]wire.JobStatus{}}
 }
 
 // SetTypes tells which machine types there are; before, nothing is accepted.
@@ -59,11 +58,9 @@
 // HasTypes tells whether machine types are known.
 func (u *Users) HasTypes() bool { return u.types.Load() != nil }
 
-// SinceTold is the time since a user was last told of a cancellation, or since
-// the start: an earlier process of this node may have told one just before it.
-func (u *Users) SinceTold() time.Duration {
-	return time.Since(u.start) - time.Duration(u.told.Load())
-}
+// Acknowledged names the jobs that users were told are cancelled, and since when
+// none is missing.
+func (u *Users) Acknowledged() (refs []string, since time.Time) { return u.acks.list() }
 
 // answer is a user's answer; body is nil where only the status matters.
 type answer struct {
@@ -155,7 +152,7 @@
 		}
 		if k.open.Cancelled {
 			k.status.Phase = wire.PhaseCancelled
-			u.tell()
+			u.acks.add(ref)
 		}
 		return k, nil
 	}
@@ -170,6 +167,8 @@
 	if err := wire.Unmarshal(it.Value, &f); err != nil {
 		return nil, fmt.Errorf("unreadable record of %s: %w", ref, err)
 	}
+	// Nothing of a job with a final record can run, so to say that it is cancelled
+	// is no acknowledgment that a leader would have to know of.
 	st = wire.JobStatus{ID: ref, Phase: f.Phase, Done: f.Tasks}
 	u.mu.Lock()
 	if len(u.finals) >= tuning.FinalCache {
@@ -180,10 +179,6 @@
 	return &known{status: st}, nil
 }
 
-// tell notes that a user is about to be told of a cancellation. It comes before
-// the answer leaves, so that SinceTold never claims too much.
-func (u *Users) tell() { u.told.Store(int64(time.Since(u.start))) }
-
 // settle runs one attempt after another until there is a certain answer. Being
 // throttled is waited out a few times; a refusal is passed on at once.
 func (u *Users) settle(ctx context.Context, tries int, try func() (answer, error)) answer {
@@ -332,7 +327,7 @@
 		if err != nil {
 			return answer{}, err
 		}
-		u.tell()
+		u.acks.add(ref)
 		k.status.Phase = wire.PhaseCancelled
 		return answer{status: 200, body: k.status}, nil
 	})
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -27,7 +27,7 @@
 	for i := range 10 {
 		d.Teams = append(d.Teams, config.Team{Name: fmt.Sprint("t", i), Cores: 900, CoresMax: 10000})
 	}
-	c := New(Deps{Config: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), OnTerm: func(uint64) {}, Resign: func() {}, Turned: func() int { return 0 }}, election.Held{N: 1, Stamp: 1})
+	c := New(Deps{Config: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), OnTerm: func(uint64) {}, Resign: func() {}, Redirected: func() int { return 0 }}, election.Held{N: 1, Stamp: 1})
 	c.Bind(context.Background())
 	now := time.Now()
 	c.takeover, c.asOfFollow, c.asOfTerm = now, now, now
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -75,6 +75,9 @@
 	}
 	var due []*job
 	for _, j := range c.jobs {
+		if j.recordBehind {
+			continue
+		}
 		if j.over() || (j.dirty && (j.urgent || now.Sub(j.dirtyAt) >= tuning.CompletionDelay)) {
 			due = append(due, j)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,12 +38,12 @@
 	OnTerm func(n uint64)
 	// Resign gives up the term for another node to take.
 	Resign func()
-	// Turned is how many workers' reports the peers have sent on lately.
-	Turned func() int
-	// PeersConfirm returns the latest time for which every peer has confirmed
-	// that it acknowledged no cancellation since the given time, and how often
-	// that holds; zero if one of them has not.
-	PeersConfirm func(since time.Time) time.Time
+	// Redirected is how many workers' reports the peers have sent on lately.
+	Redirected func() int
+	// Acknowledged returns the jobs that controllers have told users are cancelled,
+	// and the time up to which none of those told after since is missing; ok is
+	// false if a controller cannot tell.
+	Acknowledged func(since time.Time) (asOf time.Time, refs []string, ok bool)
 }
 
 // ErrNotEntitled says that the leader may not answer reports now.
@@ -121,6 +121,7 @@
 	heardMost   bool      // most machines were heard at some time in this term
 	asOfFollow  time.Time
 	asOfTerm    time.Time
+	asOfPeers   time.Time // see extendAuthority
 	inCommit    *batch
 	commitAfter time.Time
 	hints       map[string]*ledger.Hint // of an earlier leader, by machine
@@ -396,11 +397,14 @@
 	var o ledger.OpenJob
 	if err := wire.Unmarshal(value, &o); err != nil {
 		c.Log.Error("unreadable job record", "job", ref, "err", err)
+		if j := c.jobs[ref]; j != nil && !j.cancelled && ledger.SaysCancelled(value) {
+			c.cancelJob(j, now) // its user is told so
+		}
 		return
 	}
 	if j := c.jobs[ref]; j != nil {
 		if ver > j.openVer {
-			j.openVer = ver
+			j.openVer, j.recordBehind = ver, false
 			if o.Cancelled && !j.cancelled {
 				c.cancelJob(j, now)
 			}
@@ -485,16 +489,38 @@
 	return c.asOfFollow
 }
 
-// authority is the time up to which no cancellation told to a user and no newer
-// term can be unknown here.
+// authority is the time up to which no cancellation acknowledged to a user and no
+// newer term can be unknown here.
 func (c *Controller) authority() time.Time {
-	at := c.confirmed()
-	if c.PeersConfirm != nil {
-		if t := c.PeersConfirm(at); t.After(at) {
-			at = t
+	if at := c.confirmed(); at.After(c.asOfPeers) {
+		return at
+	}
+	return c.asOfPeers
+}
+
+// extendAuthority goes on where the state service gives no proof. The jobs that
+// users were told are cancelled since then are stopped here as if their events had
+// come; once all controllers, this one included, have named theirs up to some time,
+// nothing told before it is unknown. Nor is a newer term: whoever holds one knows it
+// before it counts anybody's lease as over, and has not answered yet.
+func (c *Controller) extendAuthority(now time.Time) {
+	since := c.confirmed()
+	if now.Sub(since) < tuning.StartAuthority || c.Acknowledged == nil {
+		return
+	}
+	asOf, refs, ok := c.Acknowledged(since)
+	if !ok {
+		return
+	}
+	for _, ref := range refs {
+		if j := c.jobs[ref]; j != nil && !j.cancelled {
+			j.recordBehind = true
+			c.cancelJob(j, now)
 		}
 	}
-	return at
+	if asOf.After(c.asOfPeers) {
+		c.asOfPeers = asOf
+	}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -609,7 +635,7 @@
 			if m.Shown >= c.token() {
 				out = append(out, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt})
 			}
-		case p.Stopping && t.State != wire.TaskSaving:
+		case p.Stopping && (t.State != wire.TaskSaving || p.Grace == 0):
 			out = append(out, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, Grace: p.Grace})
 		}
 	}
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -32,10 +32,13 @@
 	urgent      bool         // it holds starts
 	dirtyAt     time.Time    // since when
 	pendingDone map[int]bool // done, not yet recorded: not to be reaped
-	unread      bool         // its run record could not be read
-	restUntil   time.Time
-	errors      int
-	seenAt      time.Time // when the leader learnt of it
+	// recordBehind: a controller says that it is cancelled, but the record with that
+	// has not been read yet, so nothing can be written on its version.
+	recordBehind bool
+	unread       bool // its run record could not be read
+	restUntil    time.Time
+	errors       int
+	seenAt       time.Time // when the leader learnt of it
 }
 
 func newJob(ref string, o *ledger.OpenJob, ver uint64, now time.Time) *job {
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -19,6 +19,7 @@
 
 // onTick does what depends on time alone.
 func (c *Controller) onTick(now time.Time) {
+	c.extendAuthority(now)
 	if len(c.Config.Peers) > 0 && c.cutOff(now) {
 		c.Log.Error("hearing next to nothing of the machines: leaving the term to another node")
 		c.Resign()
@@ -205,7 +206,7 @@
 	}
 	c.heardMost = c.heardMost || 2*heard > known
 	return known >= tuning.UnheardLeast && float64(heard) < float64(known)*tuning.HeardShare &&
-		(c.heardMost || c.Turned() > max(heard, tuning.UnheardLeast))
+		(c.heardMost || c.Redirected() > max(heard, tuning.UnheardLeast))
 }
 
 // drain saves in time what can be saved on a machine that the cloud takes away.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,24 +21,26 @@
 	"marblehaven/internal/wire"
 )
 
-// Word is what a node says of itself.
-type Word struct {
+// Status is what a node says of itself.
+type Status struct {
 	Leader ledger.Term `msgpack:"l"`
 	// StateMS is the time since the state service last served the node.
 	StateMS int64 `msgpack:"s"`
-	// AckMS is the time since the node last told a user of a cancellation, or
-	// since it started if it has not.
-	AckMS int64 `msgpack:"a"`
-	// Turned counts the workers' reports that the node sent on to others.
-	Turned uint64 `msgpack:"t"`
+	// Acknowledged names the jobs that the node has told users are cancelled, if
+	// asked for, and CompleteMS is the time since which none is missing there.
+	Acknowledged []string `msgpack:"k,omitempty"`
+	CompleteMS   int64    `msgpack:"c,omitempty"`
+	// Redirected counts the workers' reports that the node sent on to others.
+	Redirected uint64 `msgpack:"t"`
 	// Summary is the leader's status, encoded; only if asked for.
 	Summary []byte `msgpack:"y,omitempty"`
 }
 
-// Ask asks for a node's word.
-type Ask struct {
-	Leader  ledger.Term `msgpack:"l"`
-	Summary bool        `msgpack:"y,omitempty"`
+// StatusRequest asks for a node's status.
+type StatusRequest struct {
+	Leader       ledger.Term `msgpack:"l"`
+	Summary      bool        `msgpack:"y,omitempty"`
+	Acknowledged bool        `msgpack:"k,omitempty"`
 }
 
 // UserCall is a user's call passed on.
@@ -56,7 +58,9 @@
 
 // Local is what a node offers its peers.
 type Local interface {
-	Word(summary bool) Word
+	Status(r *StatusRequest) Status
+	// Leads tells whether the node leads, and so must know what others acknowledge.
+	Leads() bool
 	Heard(t ledger.Term)
 	UserCall(ctx context.Context, c *UserCall) *UserAnswer
 }
@@ -74,10 +78,10 @@
 	ServiceName: service,
 	HandlerType: (*Local)(nil),
 	Methods: []grpc.MethodDesc{
-		unary("Word", func(l Local, _ context.Context, a *Ask) *Word {
-			l.Heard(a.Leader)
-			w := l.Word(a.Summary)
-			return &w
+		unary("Status", func(l Local, _ context.Context, r *StatusRequest) *Status {
+			l.Heard(r.Leader)
+			s := l.Status(r)
+			return &s
 		}),
 		unary("UserCall", func(l Local, ctx context.Context, c *UserCall) *UserAnswer { return l.UserCall(ctx, c) }),
 	},
@@ -104,26 +108,26 @@
 	return s.Serve(ln)
 }
 
-// heard is the last word of a peer.
-type heard struct {
+// answer is what a peer last answered. Its status was made between the two times.
+type answer struct {
 	asked, answered time.Time
-	word            Word
+	status          Status
 }
 
 type link struct {
 	name string
 	conn grpc.ClientConnInterface
-	last heard
-	// What Turned was at the two latest times that lie PeerWindow apart.
-	turned, before uint64
-	markAt         time.Time
+	last answer
+	// What Redirected was at the two latest times that lie PeerWindow apart.
+	redirected, before uint64
+	markAt             time.Time
 }
 
 // Group is a node's view of its peers. It is safe for concurrent use.
 type Group struct {
 	local Local
 	log   *slog.Logger
-	mu    sync.Mutex // guards the links' last words
+	mu    sync.Mutex // guards the links' last answers
 	links []*link
 }
 
@@ -150,7 +154,7 @@
 	return g, nil
 }
 
-// Run exchanges words with all peers until ctx ends.
+// Run exchanges statuses with all peers until ctx ends.
 func (g *Group) Run(ctx context.Context) {
 	for _, l := range g.links {
 		go func() {
@@ -168,54 +172,57 @@
 	}
 }
 
-func (g *Group) ask(ctx context.Context, l *link, summary bool) (Word, bool) {
+func (g *Group) ask(ctx context.Context, l *link, summary bool) (Status, bool) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.PeerTimeout)
 	defer cancel()
-	h := heard{asked: time.Now()}
-	mine := g.local.Word(false)
-	err := l.conn.Invoke(ctx, "/"+service+"/Word", &Ask{Leader: mine.Leader, Summary: summary}, &h.word)
+	a := answer{asked: time.Now()}
+	req := &StatusRequest{Leader: g.local.Status(&StatusRequest{}).Leader, Summary: summary, Acknowledged: g.local.Leads()}
+	err := l.conn.Invoke(ctx, "/"+service+"/Status", req, &a.status)
 	if err != nil {
 		g.log.Debug("peer silent", "peer", l.name, "err", err)
-		return Word{}, false
+		return Status{}, false
 	}
-	h.answered = time.Now()
-	g.local.Heard(h.word.Leader)
+	a.answered = time.Now()
+	g.local.Heard(a.status.Leader)
 	g.mu.Lock()
-	l.last = h
-	if h.answered.Sub(l.markAt) >= tuning.PeerWindow {
-		l.before, l.turned, l.markAt = l.turned, h.word.Turned, h.answered
+	l.last = a
+	if a.answered.Sub(l.markAt) >= tuning.PeerWindow {
+		l.before, l.redirected, l.markAt = l.redirected, a.status.Redirected, a.answered
 	}
 	g.mu.Unlock()
-	return h.word, true
+	return a.status, true
 }
 
-// Confirm returns the latest time up to which all peers have confirmed that
-// none of them told a user of a cancellation since the given time; zero if one
-// has not. A peer that restarted counts as having told one when it started.
-func (g *Group) Confirm(since time.Time) time.Time {
+// Acknowledged returns the jobs that the peers have told users are cancelled, and
+// the latest time up to which none of those told after since is missing; it is
+// zero without peers. A peer that restarted after since, or has told users of
+// more jobs than it names, cannot say, nor can one that has not been asked.
+func (g *Group) Acknowledged(since time.Time) (asOf time.Time, refs []string, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var at time.Time
 	for _, l := range g.links {
-		told := l.last.answered.Add(-time.Duration(l.last.word.AckMS) * time.Millisecond)
-		if l.last.asked.IsZero() || !told.Before(since) {
-			return time.Time{}
+		// The peer reckoned CompleteMS before it answered, so this is too late
+		// rather than too early.
+		complete := l.last.answered.Add(-time.Duration(l.last.status.CompleteMS) * time.Millisecond)
+		if l.last.asked.IsZero() || !complete.Before(since) {
+			return time.Time{}, nil, false
 		}
-		if at.IsZero() || l.last.asked.Before(at) {
-			at = l.last.asked
+		refs = append(refs, l.last.status.Acknowledged...)
+		if asOf.IsZero() || l.last.asked.Before(asOf) {
+			asOf = l.last.asked
 		}
 	}
-	return at
+	return asOf, refs, true
 }
 
-// Turned is how many workers' reports the peers that can be heard have sent on to
-// other nodes lately.
-func (g *Group) Turned() int {
+// Redirected is how many workers' reports the peers that can be heard have sent on
+// to other nodes lately.
+func (g *Group) Redirected() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	n := uint64(0)
 	for _, l := range g.links {
-		switch t := l.last.word.Turned; {
+		switch t := l.last.status.Redirected; {
 		case time.Since(l.last.answered) > tuning.PeerFresh:
 		case t < l.before: // a new process
 			n += t
@@ -249,7 +256,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range g.links {
-		at := l.last.answered.Add(-time.Duration(l.last.word.StateMS) * time.Millisecond)
+		at := l.last.answered.Add(-time.Duration(l.last.status.StateMS) * time.Millisecond)
 		if !l.last.asked.IsZero() && at.After(t) && time.Since(at) < tuning.PeerFresh {
 			return l, true
 		}
@@ -276,8 +283,8 @@
 func (g *Group) Summary(ctx context.Context, node string) []byte {
 	for _, l := range g.links {
 		if l.name == node {
-			w, _ := g.ask(ctx, l, true)
-			return w.Summary
+			s, _ := g.ask(ctx, l, true)
+			return s.Summary
 		}
 	}
 	return nil
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -39,6 +39,9 @@
 	handlers map[string]http.Handler // address -> handler; absent: refused
 	cuts     map[[2]string]*cutState
 	deaf     map[string]*cutState // hosts that nothing reaches, though they send
+	mute     map[string]bool      // hosts that cannot open connections
+	// Delay is how much longer a message takes; nil: none does.
+	Delay func(from, to string) time.Duration
 	// Repeat makes the network deliver some requests twice, the second time up
 	// to so much later, by path.
 	Repeat map[string]time.Duration
@@ -47,7 +50,7 @@
 // NewNetwork makes a network without hosts.
 func NewNetwork(seed uint64) *Network {
 	return &Network{rng: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]string{},
-		handlers: map[string]http.Handler{}, cuts: map[[2]string]*cutState{}, deaf: map[string]*cutState{}}
+		handlers: map[string]http.Handler{}, cuts: map[[2]string]*cutState{}, deaf: map[string]*cutState{}, mute: map[string]bool{}}
 }
 
 // Listen puts a handler at an address; nil takes it away.
@@ -100,6 +103,18 @@
 	})
 }
 
+// Mute makes a host unable to open connections until the returned function is
+// called; what others send to it arrives, and is answered.
+func (n *Network) Mute(host string) (mend func()) {
+	set := func(on bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.mute[host] = on
+	}
+	set(true)
+	return sync.OnceFunc(func() { set(false) })
+}
+
 func (n *Network) float() float64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -118,6 +133,9 @@
 // travel lets one message pass from a to b: it takes its time and waits out cuts.
 func (n *Network) travel(a, b string) error {
 	time.Sleep(time.Millisecond + time.Duration(n.float()*float64(4*time.Millisecond)))
+	if n.Delay != nil {
+		time.Sleep(n.Delay(a, b))
+	}
 	for {
 		c := n.cut(a, b)
 		switch {
@@ -158,9 +176,13 @@
 	}
 	t.n.mu.Lock()
 	to, known := t.n.hosts[req.URL.Host]
+	mute := t.n.mute[t.host]
 	t.n.mu.Unlock()
-	if !known {
+	switch {
+	case !known:
 		return nil, errors.New("no such host")
+	case mute:
+		return nil, errors.New("no connection")
 	}
 	done := make(chan outcome, 1)
 	go func() {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -42,6 +43,9 @@
 	MaxOps, MaxValue int
 	// LoseReply picks applied commits that are not answered.
 	LoseReply func() bool
+	// Late picks commits that get no answer and are carried out so much later,
+	// after newer ones; 0: not this one.
+	Late func() time.Duration
 	// Slow is how long a call waits before it is worked on, by path.
 	Slow func(path string) time.Duration
 	// LoseEvent picks keys whose changes follow calls do not see.
@@ -195,6 +199,18 @@
 			answer(w, 404, epoch{s.rev})
 		}
 	case path == "/commit":
+		if s.Late != nil {
+			if d := s.Late(); d > 0 {
+				go func() {
+					time.Sleep(d)
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.commit(httptest.NewRecorder(), body)
+				}()
+				answer(w, 502, nil)
+				return
+			}
+		}
 		s.commit(w, body)
 	case path == "/grants":
 		var g wire.GrantRequest
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -60,6 +60,10 @@
 	// AuthorityMargin is kept between the end of a leader's right to answer
 	// reports plus a lease, and cancel_s: drift, report delay and kill time.
 	AuthorityMargin = 2 * time.Second
+	// AckJobs is how many jobs a node remembers that it told users are cancelled,
+	// for a leader without state service: some seconds' worth of all the changes
+	// that a large site's state service takes, and less than MaxBody together.
+	AckJobs = 1000
 	// LeaseMargin is added to a lease before its tasks count as gone: report
 	// transit, timer steps and the 4 s after which workers drop an answer.
 	LeaseMargin = 1 * time.Second
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -115,8 +115,8 @@
 		Config: n.cfg, Store: n.store, Cloud: n.cloud, Worker: n.workers, Log: n.log,
 		OnTerm:       func(t uint64) { n.keeper.Observe(ledger.Term{N: t}) },
 		Resign:       n.keeper.Resign,
-		Turned:       n.peers.Turned,
-		PeersConfirm: n.peers.Confirm,
+		Redirected:   n.peers.Redirected,
+		Acknowledged: n.acknowledged,
 	}, held)
 	c.Bind(ctx)
 	n.leading.Store(c)
@@ -211,20 +211,44 @@
 	return s, raw != nil && wire.Unmarshal(raw, &s) == nil
 }
 
-// Word is what this node says to its peers.
-func (n *node) Word(summary bool) peer.Word {
-	w := peer.Word{StateMS: n.store.SinceOK().Milliseconds(), AckMS: n.users.SinceTold().Milliseconds(), Turned: n.api.Turned()}
-	w.Leader, _ = n.keeper.Leader()
-	if c := n.leading.Load(); summary && c != nil {
+// acknowledged returns the jobs that controllers, this one included, have told
+// users are cancelled, and the time up to which none of those told after since is
+// missing; ok is false if one of them cannot tell.
+func (n *node) acknowledged(since time.Time) (asOf time.Time, refs []string, ok bool) {
+	now := time.Now() // what this node tells users from here on is later than asOf
+	own, complete := n.users.Acknowledged()
+	if !complete.Before(since) {
+		return asOf, nil, false
+	}
+	asOf, refs, ok = n.peers.Acknowledged(since)
+	if asOf.IsZero() {
+		asOf = now
+	}
+	return asOf, append(own, refs...), ok
+}
+
+// Status is what this node says to its peers.
+func (n *node) Status(r *peer.StatusRequest) peer.Status {
+	s := peer.Status{StateMS: n.store.SinceOK().Milliseconds(), Redirected: n.api.Redirected()}
+	s.Leader, _ = n.keeper.Leader()
+	if r.Acknowledged {
+		var since time.Time
+		s.Acknowledged, since = n.users.Acknowledged()
+		s.CompleteMS = time.Since(since).Milliseconds()
+	}
+	if c := n.leading.Load(); r.Summary && c != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), tuning.PeerTimeout)
 		defer cancel()
-		if s, ok := c.Status(ctx); ok {
-			w.Summary, _ = wire.Marshal(s)
+		if sum, ok := c.Status(ctx); ok {
+			s.Summary, _ = wire.Marshal(sum)
 		}
 	}
-	return w
+	return s
 }
 
+// Leads tells whether this node leads.
+func (n *node) Leads() bool { return n.leading.Load() != nil }
+
 // Heard takes in a term that a peer has named.
 func (n *node) Heard(t ledger.Term) {
 	if t.N > 0 {
