--- a/meetings_test.go
+++ b/meetings_test.go
@@ -516,6 +516,22 @@
 			}
 			time.Sleep(30 * time.Second)
 		}},
+		{"copies of old reports come from machines that died", func(c *cluster, seed uint64) {
+			c.net.Repeat = map[string]time.Duration{"/hello": 40 * time.Second}
+			c.submit(sweep(1, "check", 8), 200)
+			c.submit(sweep(2, "check", 8), 50) // leaves room behind
+			c.untilDone(2*time.Minute, "req-000002")
+			c.w.CloudDown = true // no return proves anything, so only the leases can
+			for _, m := range slices.Compact(c.w.On("req-000001"))[:2] {
+				c.w.Kill(m)
+			}
+			if seed == 1 {
+				c.killLeader()
+				return
+			}
+			// A copy that counted as a sign of life would renew a dead machine's lease.
+			c.until("what the dead machines had runs elsewhere", lease+4*time.Second, func() bool { return len(c.w.On("req-000001")) == 8 })
+		}},
 		{"reports are held until a new leader has acted", func(c *cluster, seed uint64) {
 			c.begin()
 			machines := c.w.Machines()
