Name leases, terms and steps down as the field does, and remove duplicates

X is the leader lease (leaderLease, LeaderLeaseMargin), the shift of the term in tokens is TermShift, leaving a term is stepping down, peers exchange statuses and observe terms. Which machines count as known, how long they may be unheard, the last known session, machines' names and the reading of a term under a key each have one place.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -54,7 +54,7 @@
 }
 
 func fullReport(c *Controller, i int, seq uint64) *wire.Report {
-	r := &wire.Report{Machine: fmt.Sprintf("m-%06d", i), Addr: "x:1", Type: "big", Zone: "a", Session: 1, Seq: seq, Token: c.term.N << tuning.BatonShift}
+	r := &wire.Report{Machine: fmt.Sprintf("m-%06d", i), Addr: "x:1", Type: "big", Zone: "a", Session: 1, Seq: seq, Token: c.term.N << tuning.TermShift}
 	for t := range 4 {
 		n := i*4 + t
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: fmt.Sprintf("req-%06d/%d", n/60, n%60), Attempt: 1, State: wire.TaskRunning})
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -334,16 +334,22 @@
 	if len(ms) == 0 {
 		return
 	}
-	ids := make([]string, len(ms))
-	for i, m := range ms {
+	for _, m := range ms {
 		m.Leaving = true
-		ids[i] = m.ID
 	}
-	c.Log.Info("returning machines", "why", why, "machines", ids)
+	c.Log.Info("returning machines", "why", why, "machines", names(ms))
 	c.toReturn = append(c.toReturn, ms...)
 	c.returnNext(now)
 }
 
+func names(ms []*fleet.Machine) []string {
+	ids := make([]string, len(ms))
+	for i, m := range ms {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
 // returnNext calls the cloud for what is to be given back. One call is under way
 // at a time, and what comes meanwhile goes into the next: hundreds of machines,
 // each returned and retried by itself, took the calls from the rentals. Those
@@ -357,10 +363,7 @@
 	})
 	n := min(len(c.toReturn), tuning.ReturnMax)
 	c.returning, c.toReturn = c.toReturn[:n:n], slices.Clone(c.toReturn[n:])
-	ids := make([]string, n)
-	for i, m := range c.returning {
-		ids[i] = m.ID
-	}
+	ids := names(c.returning)
 	go func() { c.send(returnMsg{c.Cloud.Return(c.ctx, ids)}) }()
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -166,7 +166,7 @@
 // New makes the leader of a term.
 func New(d Deps, term election.Held) *Controller {
 	st := d.Config.Deployment.State
-	floor := term.N << tuning.BatonShift
+	floor := term.N << tuning.TermShift
 	wr := st.WriteRPS * tuning.LeaderWriteShare
 	return &Controller{
 		Deps: d, term: term,
@@ -378,8 +378,8 @@
 			// workers kept the results of what was done.
 			c.Log.Error("unreadable run record", "job", ref, "err", err)
 			j.unread, j.runVer = true, ver
-			j.next = c.term.N<<tuning.BatonShift + 1 // no earlier attempt has this number
-			j.restUntil = c.leaseFrom(c.takeover.Add(c.grace()))
+			j.next = c.term.N<<tuning.TermShift + 1 // no earlier attempt has this number
+			j.restUntil = c.leaseFrom(c.takeover.Add(c.leaderLease()))
 			return
 		}
 		j.restore(&r, ver)
@@ -525,18 +525,18 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// grace is X: how long after its last proof of authority a leader may answer
+// leaderLease is X: how long after its last proof of authority a leader may answer
 // reports, so that a machine kept alive by it still loses its tasks in time.
-func (c *Controller) grace() time.Duration {
+func (c *Controller) leaderLease() time.Duration {
 	w := c.Config.Deployment.Workers
-	return max(0, seconds(w.CancelS-w.LeaseS)-tuning.AuthorityMargin)
+	return max(0, seconds(w.CancelS-w.LeaseS)-tuning.LeaderLeaseMargin)
 }
 
 func (c *Controller) leaseFrom(t time.Time) time.Time {
 	return t.Add(seconds(c.Config.Deployment.Workers.LeaseS*(1+tuning.DriftShare)) + tuning.LeaseMargin)
 }
 
-func (c *Controller) token() uint64 { return c.term.N << tuning.BatonShift }
+func (c *Controller) token() uint64 { return c.term.N << tuning.TermShift }
 
 // machine finds a machine or makes one that is known by name only.
 func (c *Controller) machine(id string, now time.Time) *fleet.Machine {
@@ -544,7 +544,7 @@
 	if m == nil {
 		// An earlier leader may go on answering it for X, and then its lease
 		// runs: only after that its recorded tasks count as gone.
-		m = fleet.New(id, c.floor, now, c.leaseFrom(c.takeover.Add(c.grace())))
+		m = fleet.New(id, c.floor, now, c.leaseFrom(c.takeover.Add(c.leaderLease())))
 		c.machines[id] = m
 		i, _ := slices.BinarySearchFunc(c.sorted, id, func(m *fleet.Machine, id string) int { return strings.Compare(m.ID, id) })
 		c.sorted = slices.Insert(c.sorted, i, m)
@@ -565,12 +565,12 @@
 }
 
 func (c *Controller) onHello(r *wire.Report, now time.Time) *wire.HelloReply {
-	if r.Token>>tuning.BatonShift > c.term.N {
+	if r.Token>>tuning.TermShift > c.term.N {
 		c.Log.Info("a worker has seen a newer term", "machine", r.Machine)
-		c.OnTerm(r.Token >> tuning.BatonShift)
+		c.OnTerm(r.Token >> tuning.TermShift)
 		return nil
 	}
-	if now.Sub(c.authority()) > c.grace() {
+	if now.Sub(c.authority()) > c.leaderLease() {
 		return nil
 	}
 	if _, ok := c.gone[r.Machine]; ok {
@@ -830,11 +830,17 @@
 	}
 	m.GreetAt = now.Add(tuning.GreetEvery)
 	c.greeting++
-	session := m.Session
+	c.do(m, nil, lastSession(m), false, true)
+}
+
+// lastSession is the latest session of a machine that is known, from its reports or
+// from the records.
+func lastSession(m *fleet.Machine) uint64 {
+	session := max(m.Session, 1)
 	for _, p := range m.Live {
 		session = max(session, p.Session)
 	}
-	c.do(m, nil, max(session, 1), false, true)
+	return session
 }
 
 func (c *Controller) do(m *fleet.Machine, orders []wire.Order, session uint64, starts, greets bool) {
@@ -861,8 +867,8 @@
 		c.Log.Info("direct command unanswered", "machine", d.m.ID, "err", d.err)
 		return
 	}
-	if d.rep.Token>>tuning.BatonShift > c.term.N {
-		c.OnTerm(d.rep.Token >> tuning.BatonShift)
+	if d.rep.Token>>tuning.TermShift > c.term.N {
+		c.OnTerm(d.rep.Token >> tuning.TermShift)
 		return
 	}
 	if d.rep.Machine == d.m.ID {
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -97,6 +97,16 @@
 	c.saveHint(now)
 }
 
+// unheard is how long a machine may be silent before it is asked after, or counts as
+// not heard.
+func (c *Controller) unheard() time.Duration {
+	return seconds(c.Config.Deployment.Workers.ReportS * tuning.UnheardReports)
+}
+
+// counts tells whether a machine is one that should be heard: it has been, or there
+// are tasks on it.
+func counts(m *fleet.Machine) bool { return !m.Leaving && (m.Up || len(m.Live) > 0) }
+
 // presumedLost picks silent machines whose tasks need not wait for the lease:
 // giving a machine back proves that they are gone. A machine whose notice is
 // over is one; so is one that answers no direct call either, sooner if production
@@ -104,12 +114,12 @@
 // that failed, and the work goes on there.
 func (c *Controller) presumedLost(now time.Time) map[*fleet.Machine]bool {
 	out := map[*fleet.Machine]bool{}
-	interval := seconds(c.Config.Deployment.Workers.ReportS)
+	interval, unheard := seconds(c.Config.Deployment.Workers.ReportS), c.unheard()
 	var deaf, mute []*fleet.Machine
 	up := 0
 	inZone, silentIn := map[string]int{}, map[string]int{}
 	for _, m := range c.machines {
-		if m.Leaving || !m.Up && len(m.Live) == 0 {
+		if !counts(m) {
 			continue
 		}
 		silent := now.Sub(m.LastReport)
@@ -120,7 +130,7 @@
 		if silent > interval {
 			silentIn[m.Zone]++ // sooner, so that a cut shows before any of it counts as lost
 		}
-		if silent > interval*3/2 && len(m.Live) > 0 {
+		if silent > unheard && len(m.Live) > 0 {
 			mute = append(mute, m)
 		}
 		if m.Shown < c.token() {
@@ -128,7 +138,7 @@
 		}
 		up++
 		switch {
-		case !m.NoticeEnd.IsZero() && now.After(m.NoticeEnd) && silent > interval*3/2:
+		case !m.NoticeEnd.IsZero() && now.After(m.NoticeEnd) && silent > unheard:
 			out[m] = true
 		case m.Deaf():
 			deaf = append(deaf, m)
@@ -146,7 +156,7 @@
 		case m.Addr == "": // not listed either, so there is nothing to call
 			out[m] = long && c.listed
 		case !m.InFlight:
-			c.do(m, nil, max(m.Session, 1), false, false)
+			c.do(m, nil, lastSession(m), false, false)
 		}
 	}
 	// Machines whose reports come although nothing reaches them are as lost, but
@@ -190,13 +200,13 @@
 	if now.Sub(c.confirmed()) > tuning.StartAuthority && now.After(c.fitSince) {
 		c.fitSince = now
 	}
-	span := seconds(c.Config.Deployment.Workers.ReportS * tuning.UnheardReports)
+	span := c.unheard()
 	if now.Sub(c.fitSince) < span {
 		return false
 	}
 	known, heard := 0, 0
 	for _, m := range c.machines {
-		if m.Leaving || !m.Up && len(m.Live) == 0 {
+		if !counts(m) {
 			continue
 		}
 		known++
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -73,16 +73,23 @@
 	}
 }
 
-// standBack frees the leader key and leaves the next term to the other nodes,
+// term reads the term under a key, and the key's version: 0 if it does not exist.
+func (k *Keeper) term(ctx context.Context, key string) (t ledger.Term, version uint64, err error) {
+	it, err := k.store.Get(ctx, key)
+	if err == nil {
+		err = wire.Unmarshal(it.Value, &t)
+	}
+	return t, it.Version, err
+}
+
+// stepDown frees the leader key and leaves the next term to the other nodes,
 // unless none of them takes it.
-func (k *Keeper) standBack(ctx context.Context, grant uint64) {
+func (k *Keeper) stepDown(ctx context.Context, grant uint64) {
 	if err := k.store.EndGrant(ctx, grant); err != nil {
 		k.log.Debug("ending the grant", "err", err) // it runs out by itself
 	}
-	for start := time.Now(); time.Since(start) < tuning.StandBack && pause.For(ctx, tuning.ElectionRetry); {
-		it, err := k.store.Get(ctx, ledger.KeyLeader)
-		var t ledger.Term
-		if err == nil && wire.Unmarshal(it.Value, &t) == nil && t.Node != k.node {
+	for start := time.Now(); time.Since(start) < tuning.StepDown && pause.For(ctx, tuning.ElectionRetry); {
+		if t, _, err := k.term(ctx, ledger.KeyLeader); err == nil && t.Node != k.node {
 			return
 		}
 	}
@@ -100,7 +107,7 @@
 			grant = k.hold(ctx, *held, grant, lead)
 			k.log.Info("no longer leading", "term", held.N)
 			if k.resign.Swap(false) {
-				k.standBack(ctx, grant)
+				k.stepDown(ctx, grant)
 			}
 		case err != nil:
 			k.log.Debug("election", "err", err)
@@ -114,32 +121,18 @@
 // attempt takes the term if nobody holds it. It returns the revision to watch
 // from when somebody does.
 func (k *Keeper) attempt(ctx context.Context) (*Held, uint64, uint64, error) {
-	var guard uint64
-	it, err := k.store.Get(ctx, ledger.KeyLeader)
-	if err == nil {
-		var t ledger.Term
-		if err := wire.Unmarshal(it.Value, &t); err != nil {
-			return nil, 0, 0, err
-		}
-		if t.Node != k.node {
-			k.Observe(t)
-			return nil, 0, it.Version, nil
-		}
-		// We are named but do not lead: this is an earlier process of ours,
-		// which is gone, or a lost term. It need not be waited out.
-		guard = it.Version
-	} else if !errors.Is(err, statestore.ErrNotFound) {
+	leader, guard, err := k.term(ctx, ledger.KeyLeader)
+	if err != nil && !errors.Is(err, statestore.ErrNotFound) {
 		return nil, 0, 0, err
 	}
-	var term ledger.Term
-	var termGuard uint64
-	it, err = k.store.Get(ctx, ledger.KeyTerm)
-	if err == nil {
-		if err := wire.Unmarshal(it.Value, &term); err != nil {
-			return nil, 0, 0, err
-		}
-		termGuard = it.Version
-	} else if !errors.Is(err, statestore.ErrNotFound) {
+	if err == nil && leader.Node != k.node {
+		k.Observe(leader)
+		return nil, 0, guard, nil
+	}
+	// If we are named but do not lead, this is an earlier process of ours, which is
+	// gone, or a lost term. It need not be waited out.
+	term, termGuard, err := k.term(ctx, ledger.KeyTerm)
+	if err != nil && !errors.Is(err, statestore.ErrNotFound) {
 		return nil, 0, 0, err
 	}
 	grant, err := k.store.NewGrant(ctx, tuning.GrantLife)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -175,7 +175,7 @@
 }
 
 // base is the first token of the present term.
-func (m *Machine) base() uint64 { return m.Token >> tuning.BatonShift << tuning.BatonShift }
+func (m *Machine) base() uint64 { return m.Token >> tuning.TermShift << tuning.TermShift }
 
 // Usable tells whether new work may be placed.
 func (m *Machine) Usable(now time.Time, silent time.Duration) bool {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,7 +18,7 @@
 
 const lease = 12 * time.Second
 
-const base = uint64(3) << tuning.BatonShift
+const base = uint64(3) << tuning.TermShift
 
 func report(session, seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
 	return &wire.Report{Machine: "m-1", Session: session, Seq: seq, Token: token, Tasks: tasks}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -61,7 +61,7 @@
 	Status(r *StatusRequest) Status
 	// Leads tells whether the node leads, and so must know what others acknowledge.
 	Leads() bool
-	Heard(t ledger.Term)
+	ObserveTerm(t ledger.Term)
 	UserCall(ctx context.Context, c *UserCall) *UserAnswer
 }
 
@@ -79,7 +79,7 @@
 	HandlerType: (*Local)(nil),
 	Methods: []grpc.MethodDesc{
 		unary("Status", func(l Local, _ context.Context, r *StatusRequest) *Status {
-			l.Heard(r.Leader)
+			l.ObserveTerm(r.Leader)
 			s := l.Status(r)
 			return &s
 		}),
@@ -183,7 +183,7 @@
 		return Status{}, false
 	}
 	a.answered = time.Now()
-	g.local.Heard(a.status.Leader)
+	g.local.ObserveTerm(a.status.Leader)
 	g.mu.Lock()
 	l.last = a
 	if a.answered.Sub(l.markAt) >= tuning.PeerWindow {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -55,7 +55,7 @@
 type leader struct{}
 
 func (leader) Status(*StatusRequest) Status                    { return Status{} }
-func (leader) Heard(ledger.Term)                               {}
+func (leader) ObserveTerm(ledger.Term)                         {}
 func (leader) UserCall(context.Context, *UserCall) *UserAnswer { return nil }
 func (leader) Leads() bool                                     { return true }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -57,9 +57,9 @@
 	// is planned. Starts are fenced by the commit before them; this only avoids
 	// work that must fail.
 	StartAuthority = 3 * time.Second
-	// AuthorityMargin is kept between the end of a leader's right to answer
+	// LeaderLeaseMargin is kept between the end of a leader's right to answer
 	// reports plus a lease, and cancel_s: drift, report delay and kill time.
-	AuthorityMargin = 2 * time.Second
+	LeaderLeaseMargin = 2 * time.Second
 	// AckJobs is how many jobs a node remembers that it told users are cancelled,
 	// for a leader without state service: some seconds' worth of all the changes
 	// that a large site's state service takes, and less than MaxBody together.
@@ -70,8 +70,8 @@
 	// DriftShare is the largest difference between two steady clocks' speeds.
 	DriftShare = 0.001
 
-	// BatonShift separates the term (high) from a machine's bump (low).
-	BatonShift = 24
+	// TermShift separates the term (high) from a machine's bump (low).
+	TermShift = 24
 
 	// PassGap is the least time between two decision passes; events within it
 	// are decided together.
@@ -142,9 +142,9 @@
 	UnheardReports = 1.5
 	HeardShare     = 0.1
 	UnheardLeast   = 3
-	// StandBack is how long such a node leaves the term to the others: some tries
+	// StepDown is how long such a node leaves the term to the others: some tries
 	// of theirs.
-	StandBack = 5 * time.Second
+	StepDown = 5 * time.Second
 	// SilentReports is how many report intervals may pass before a machine is
 	// not given new work.
 	SilentReports = 2.6
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -249,8 +249,8 @@
 // Leads tells whether this node leads.
 func (n *node) Leads() bool { return n.leading.Load() != nil }
 
-// Heard takes in a term that a peer has named.
-func (n *node) Heard(t ledger.Term) {
+// ObserveTerm takes in a term that a peer has named.
+func (n *node) ObserveTerm(t ledger.Term) {
 	if t.N > 0 {
 		n.keeper.Observe(t)
 	}
