--- a/meetings_test.go
+++ b/meetings_test.go
@@ -566,3 +566,34 @@
 		})
 	}
 }
+
+// A machine that reaches no controller, though commands reach it, loses its lease
+// whatever it is told: what is started there is lost again, so nothing is put on it
+// until it is heard.
+func TestMuteMachine(t *testing.T) {
+	run(t, 340, func(c *cluster) {
+		for _, zone := range []string{"a", "b"} { // there is more work than room
+			c.w.Limit("small", zone, false, 3)
+			c.w.Limit("small", zone, true, 0)
+			c.w.Limit("big", zone, false, 0)
+			c.w.Limit("big", zone, true, 0)
+		}
+		c.submit(standing(1, 2), 0)
+		c.submit(sweep(2, "fill", 60), 30)
+		c.until("all run", 2*time.Minute, func() bool { return len(c.w.On("req-000001")) == 2 && len(c.w.On("req-000002")) >= 5 })
+		mute := c.w.On("req-000001")[0]
+		c.mute(mute)
+		lease := time.Duration(deployment().Workers.LeaseS * float64(time.Second))
+		c.until("the replica runs elsewhere", lease+10*time.Second, func() bool {
+			on := c.w.On("req-000001")
+			return len(on) == 2 && !slices.Contains(on, mute)
+		})
+		for range 60 {
+			time.Sleep(time.Second)
+			if slices.Contains(c.w.On("req-000002"), mute) || slices.Contains(c.w.On("req-000001"), mute) {
+				t.Fatal("work was put on a machine that cannot say that it lives")
+			}
+		}
+		c.settle()
+	})
+}
