Hold back recorded starts while the leader has no proof of authority

Cause, from reading Controller.dispatch for a process that stands still: decisions need a fresh proof, but a start that was recorded just before and waited in a machine's outbox went out after the standstill or into an outage, when its job may be cancelled by now. Now such starts wait, recorded, until the state service has spoken. TestStandingStill fails without the guard (on a copy).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -755,19 +755,23 @@
 			p.StopAt = now.Add(-tuning.TickEvery) // the reports carry repeats
 		}
 	}
+	// Placed before an outage or a standstill, its job may be cancelled by now.
+	mayStart := now.Sub(c.confirmed()) < tuning.StartAuthority
+	waiting := m.Outbox[:0]
 	for _, p := range m.Outbox {
-		if m.Live[p.Key] != p || p.Sent {
-			continue
-		}
-		if p.Stopping || p.Session != m.Session || m.Shown < c.token() {
+		switch {
+		case m.Live[p.Key] != p || p.Sent:
+		case p.Stopping || p.Session != m.Session || m.Shown < c.token():
 			c.unplace(p, now) // never sent, so it can be taken back
-			continue
+		case !mayStart:
+			waiting = append(waiting, p)
+		default:
+			m.Start(p)
+			starts = true
+			orders = append(orders, wire.Order{Verb: wire.VerbStart, Task: taskName(p.Key), Attempt: p.Attempt})
 		}
-		m.Start(p)
-		starts = true
-		orders = append(orders, wire.Order{Verb: wire.VerbStart, Task: taskName(p.Key), Attempt: p.Attempt})
 	}
-	m.Outbox = m.Outbox[:0]
+	m.Outbox = waiting
 	if len(orders) > 0 {
 		c.do(m, orders, m.Session, starts, false)
 	}
--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -187,6 +187,14 @@
 	resigned := false
 	c.Config.Peers, c.heardMost = make([]config.Peer, 4), true
 	c.Resign = func() { resigned = true }
+	// One start was recorded and not yet sent: its job may be cancelled by now.
+	m := c.sorted[100]
+	var start *fleet.Placement
+	for _, start = range m.Live {
+		break
+	}
+	start.Recorded, start.Sent, start.Session = true, false, m.Session
+	m.Addr, m.Outbox = m.ID+":1", []*fleet.Placement{start}
 	for _, still := range []time.Duration{4, 8, 12} {
 		later := now.Add(still * time.Second)
 		c.onTick(later)
@@ -201,4 +209,13 @@
 			t.Errorf("after %d s: %d placed, %d to be returned, %d called, resigned %v", still, n, len(c.toReturn)+len(c.returning), calls, resigned)
 		}
 	}
+	// Once the state service has spoken the start goes out.
+	w := &calls{answer: make(chan struct{})}
+	defer close(w.answer)
+	c.Worker = worker.New(w, wire.NewComplaints(c.Log), 5000)
+	later := now.Add(12 * time.Second)
+	c.asOfFollow, c.asOfTerm = later, later
+	if c.dispatch(m, later); !start.Sent || len(m.Outbox) > 0 {
+		t.Error("a start that waited for the state service was never sent")
+	}
 }
