--- a/chaos_test.go
+++ b/chaos_test.go
@@ -129,12 +129,7 @@
 				later(secs(13, 25), c.net.Mute(m))
 			}
 		case 16: // transactions without an answer are carried out late
-			c.w.State.Late = func() time.Duration {
-				if c.w.Random() < 0.15 {
-					return time.Duration((2 + 10*c.w.Random()) * float64(time.Second))
-				}
-				return 0
-			}
+			c.w.State.Late = c.lateCommits(0.15)
 			later(secs(5, 30), func() { c.w.State.Late = nil })
 		case 17: // it hangs between a command and its answer
 			if machine != "" {
--- a/meetings_test.go
+++ b/meetings_test.go
@@ -142,15 +142,7 @@
 		}, nil, false},
 		{"by the next leader before the outage", func(c *cluster, leader string) {
 			c.w.State.Refuse(leader, true)
-			next := ""
-			c.until("another leads", 10*time.Second, func() bool {
-				for _, n := range c.others(leader) {
-					if c.leads(n) {
-						next = n
-					}
-				}
-				return next != ""
-			})
+			next := c.untilAnotherLeads(leader, 10*time.Second)
 			slowFollow(c)
 			c.withdrawAt(next, "req-000001")
 		}, nil, true},
@@ -184,9 +176,7 @@
 					}
 					c.w.State.Refuse(leader, false)
 					c.w.State.Refuse("", false)
-					for _, mend := range c.mends {
-						mend()
-					}
+					c.mend()
 					time.Sleep(15 * time.Second)
 					// Records that are behind what the controllers say must not make
 					// the leader's writes fail until it gives up.
@@ -201,12 +191,21 @@
 	}
 }
 
-// leads tells whether a node leads.
-func (c *cluster) leads(name string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := c.nodes[name]
-	return n != nil && n.Leading() != nil
+// untilAnotherLeads waits for a leader beside a node, which may still take itself for
+// one, and returns its name.
+func (c *cluster) untilAnotherLeads(old string, limit time.Duration) (next string) {
+	c.t.Helper()
+	c.until("another leads", limit, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for name, n := range c.nodes {
+			if name != old && n.Leading() != nil {
+				next = name
+			}
+		}
+		return next != ""
+	})
+	return next
 }
 
 // settle ends all troubles and judges what the operators' page judges then: every
@@ -217,17 +216,14 @@
 	c.w.State.Refuse("", false)
 	for _, n := range c.names {
 		c.w.State.Refuse(n, false)
-		if c.alive(n) {
-			continue
+		if !c.alive(n) {
+			c.boot(n)
 		}
-		c.boot(n)
 	}
 	c.w.State.Slow, c.w.State.Late, c.w.State.LoseReply, c.w.State.LoseEvent = nil, nil, nil, nil
 	c.net.Delay = nil
 	c.w.CloudDown = false
-	for _, mend := range c.mends {
-		mend()
-	}
+	c.mend()
 	c.w.Calm()
 	c.known(c.jobs...)
 	for _, ref := range c.jobs {
@@ -290,6 +286,16 @@
 	time.Sleep(5 * time.Second)
 }
 
+// lateCommits picks a share of the commits to be carried out 2 to 12 s late.
+func (c *cluster) lateCommits(share float64) func() time.Duration {
+	return func() time.Duration {
+		if c.w.Random() < share {
+			return time.Duration((2 + 10*c.w.Random()) * float64(time.Second))
+		}
+		return 0
+	}
+}
+
 // noRoom lets the cloud rent out nothing more.
 func (c *cluster) noRoom() {
 	for _, typ := range testTypes {
@@ -316,7 +322,6 @@
 // Two troubles at once, one case for each meeting on the operators' page that no
 // other scenario brings about; docs/compound-failures.md names them all.
 func TestMeetings(t *testing.T) {
-	lease := time.Duration(deployment().Workers.LeaseS * float64(time.Second))
 	for _, tc := range []struct {
 		name string
 		play func(c *cluster, seed uint64)
@@ -330,7 +335,7 @@
 			if seed == 1 {
 				c.killLeader()
 			}
-			time.Sleep(2*lease + 10*time.Second)
+			time.Sleep(2*testLease + 10*time.Second)
 			c.mend()
 		}},
 		{"work bound to a zone loses its machines", func(c *cluster, seed uint64) {
@@ -355,7 +360,7 @@
 			for _, n := range c.names {
 				c.kill(n)
 			}
-			time.Sleep(lease - time.Second + time.Duration(seed)*4*time.Second)
+			time.Sleep(testLease - time.Second + time.Duration(seed)*4*time.Second)
 			c.boot(c.names[seed])
 			go c.w.Withdraw("req-000001")
 			time.Sleep(8 * time.Second)
@@ -392,7 +397,7 @@
 			}
 			c.killLeader()
 			go c.w.Withdraw("req-000001")
-			time.Sleep(lease + 5*time.Second)
+			time.Sleep(testLease + 5*time.Second)
 			c.mend()
 			time.Sleep(20 * time.Second)
 		}},
@@ -440,7 +445,7 @@
 			go c.w.Withdraw("req-000001")
 			time.Sleep(4 * time.Second)
 			c.boot(old)
-			time.Sleep(lease + time.Duration(seed)*8*time.Second)
+			time.Sleep(testLease + time.Duration(seed)*8*time.Second)
 			c.mend()
 			time.Sleep(10 * time.Second)
 		}},
@@ -514,12 +519,7 @@
 		}},
 		{"transactions without an answer are carried out late", func(c *cluster, seed uint64) {
 			c.begin()
-			c.w.State.Late = func() time.Duration {
-				if c.w.Random() < 0.2 {
-					return time.Duration((2 + 10*c.w.Random()) * float64(time.Second))
-				}
-				return 0
-			}
+			c.w.State.Late = c.lateCommits(0.2)
 			for i := range 6 {
 				c.submit(sweep(5+i, "check", 3), 8)
 			}
@@ -547,7 +547,7 @@
 				return
 			}
 			// A copy that counted as a sign of life would renew a dead machine's lease.
-			c.until("what the dead machines had runs elsewhere", lease+4*time.Second, func() bool { return len(c.w.On("req-000001")) == 8 })
+			c.until("what the dead machines had runs elsewhere", testLease+4*time.Second, func() bool { return len(c.w.On("req-000001")) == 8 })
 		}},
 		{"reports are held until a new leader has acted", func(c *cluster, seed uint64) {
 			c.begin()
@@ -602,11 +602,7 @@
 		if slices.Contains(c.w.On("req-000002"), mute) {
 			t.Error("work is still put on a machine that has fallen silent")
 		}
-		lease := time.Duration(deployment().Workers.LeaseS * float64(time.Second))
-		c.until("the replica runs elsewhere", lease+10*time.Second, func() bool {
-			on := c.w.On("req-000001")
-			return len(on) == 2 && !slices.Contains(on, mute)
-		})
+		c.untilElsewhere("req-000001", 2, mute, testLease+10*time.Second)
 		for range 60 {
 			time.Sleep(time.Second)
 			if slices.Contains(c.w.On("req-000002"), mute) || slices.Contains(c.w.On("req-000001"), mute) {
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -62,6 +62,9 @@
 	return d
 }
 
+// testLease is the lease of the workers in deployment.
+var testLease = time.Duration(deployment().Workers.LeaseS * float64(time.Second))
+
 // run plays a scenario with three nodes and judges it by the rules.
 func run(t *testing.T, seed uint64, scenario func(c *cluster)) {
 	runWith(t, seed, nodeNames, scenario)
@@ -91,9 +94,7 @@
 		for _, rule := range c.w.Broken() {
 			t.Error("rule broken:", rule)
 		}
-		for _, mend := range c.mends {
-			mend()
-		}
+		c.mend()
 		for _, stop := range c.stops {
 			stop()
 		}
@@ -195,8 +196,7 @@
 
 // leaveWorkers cuts a node off from the state service and all other nodes.
 func (c *cluster) leaveWorkers(name string) func() {
-	others := slices.DeleteFunc(slices.Clone(c.names), func(n string) bool { return n == name })
-	return c.isolate(name, standin.Hold, append(others, "state")...)
+	return c.isolate(name, standin.Hold, append(c.others(name), "state")...)
 }
 
 // peerConn carries gRPC calls between the nodes through the stand-in network.
@@ -268,6 +268,15 @@
 	}
 }
 
+// untilElsewhere waits until all replicas of a service run, none of them on a machine.
+func (c *cluster) untilElsewhere(ref string, replicas int, machine string, limit time.Duration) {
+	c.t.Helper()
+	c.until("the replica runs elsewhere", limit, func() bool {
+		on := c.w.On(ref)
+		return len(on) == replicas && !slices.Contains(on, machine)
+	})
+}
+
 // known checks that each accepted job gets an answer within 75 s, however the
 // others fare, as the operators' rule says.
 func (c *cluster) known(refs ...string) {
@@ -448,17 +457,8 @@
 		old := c.leader()
 		c.w.State.Refuse(old, true)
 		// Its peers cannot warn it, and the workers stay with it.
-		mend := c.isolate(old, standin.Hold, slices.DeleteFunc(slices.Clone(nodeNames), func(n string) bool { return n == old })...)
-		c.until("another leads", 20*time.Second, func() bool {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			for name, n := range c.nodes {
-				if name != old && n.Leading() != nil {
-					return true
-				}
-			}
-			return false
-		})
+		mend := c.isolate(old, standin.Hold, c.others(old)...)
+		c.untilAnotherLeads(old, 20*time.Second)
 		c.w.Withdraw("req-000001")
 		time.Sleep(50 * time.Second)
 		if on := c.w.On("req-000001"); len(on) > 0 {
@@ -951,11 +951,7 @@
 		deaf := c.w.On("req-000001")[0]
 		mend := c.net.Deafen(deaf)
 		defer mend()
-		lease := time.Duration(deployment().Workers.LeaseS * float64(time.Second))
-		c.until("the replica runs elsewhere", lease+30*time.Second, func() bool {
-			on := c.w.On("req-000001")
-			return len(on) == 2 && !slices.Contains(on, deaf)
-		})
+		c.untilElsewhere("req-000001", 2, deaf, testLease+30*time.Second)
 		for range 60 {
 			time.Sleep(time.Second)
 			if slices.Contains(c.w.On("req-000002"), deaf) {
