--- /dev/null
+++ b/dependencies_test.go
@@ -0,0 +1,207 @@
+package marblehaven
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/wire"
+)
+
+// after makes a job wait for others.
+func after(j wire.Job, refs ...string) wire.Job {
+	j.Awaits = refs
+	return j
+}
+
+// pipeline submits a chain of four stages, the third of which is a gang, one job
+// after another, and returns their ids. Numbers count from first.
+func (c *cluster) pipeline(first int) []string {
+	c.t.Helper()
+	small := func(i, tasks int, rank string) wire.Job {
+		j := sweep(first+i, "stage", tasks)
+		j.Rank, j.Cores, j.EstimateS = rank, 1, 8
+		return j
+	}
+	join := gang(first+3, 2)
+	join.Cards, join.Cores, join.Rank = 0, 2, wire.Standard
+	last := small(4, 2, wire.High)
+	last.DeadlineS = 200
+	jobs := []wire.Job{
+		small(0, 4, wire.Idle),
+		after(small(1, 6, wire.Idle), jobID(first)),
+		after(small(2, 3, wire.Idle), jobID(first)),
+		after(join, jobID(first), jobID(first+1)),
+		after(last, jobID(first+2), jobID(first+3)),
+	}
+	var refs []string
+	for _, j := range jobs {
+		c.submit(j, 8)
+		refs = append(refs, j.ID)
+	}
+	return refs
+}
+
+func jobID(n int) string { return sweep(n, "", 1).ID }
+
+// untilCancelled waits until the users of all jobs are told that they are cancelled.
+func (c *cluster) untilCancelled(limit time.Duration, refs ...string) {
+	c.t.Helper()
+	for _, ref := range refs {
+		c.until(ref+" is cancelled", limit, func() bool { return c.phase(ref) == wire.PhaseCancelled })
+	}
+}
+
+// A pipeline runs in its order; cancelling one of its jobs cancels those behind it
+// and no others; what the rules say is judged by the stand-ins.
+func TestPipeline(t *testing.T) {
+	run(t, 60, func(c *cluster) {
+		whole := c.pipeline(100)
+		cut := c.pipeline(200)
+		c.untilDone(3*time.Minute, cut[0])
+		c.w.Withdraw(cut[1])
+		c.untilCancelled(10*time.Second, cut[1], cut[3], cut[4])
+		c.untilDone(3*time.Minute, cut[2])
+		c.untilDone(5*time.Minute, whole...)
+		// Named when it is over: accepted, and cancelled.
+		late := after(sweep(300, "stage", 2), cut[0], cut[3])
+		c.submit(late, 5)
+		c.untilCancelled(time.Second, late.ID)
+		// A cancellation that is answered with done stops nothing.
+		if _, st := c.w.Withdraw(whole[1]); st.Phase != wire.PhaseDone {
+			t.Errorf("a finished job withdrawn is %s", st.Phase)
+		}
+		next := after(sweep(301, "stage", 2), whole[1], whole[4])
+		c.submit(next, 5)
+		c.untilDone(2*time.Minute, next.ID)
+		if st := c.w.Submit(late, 5); st != 200 {
+			t.Errorf("a cancelled job submitted again gets %d", st)
+		}
+		c.until("records are cleared", time.Minute, func() bool { return len(c.w.State.Keys("o/")) == 0 })
+	})
+}
+
+// What can't be accepted: jobs that were never submitted, names of another form, the
+// job itself, lists that are none, and more names than a record holds. A chain can
+// hold no cycle, since a job must be accepted before it is named.
+func TestDependenciesRefused(t *testing.T) {
+	run(t, 61, func(c *cluster) {
+		first := sweep(1, "stage", 1)
+		c.submit(first, 5)
+		many := make([]string, 40)
+		for i := range many {
+			many[i] = jobID(1000 + i)
+		}
+		for _, b := range []struct {
+			awaits any
+			want   int
+		}{
+			{[]string{jobID(999)}, 422}, {[]string{first.ID, jobID(999)}, 422}, {[]string{jobID(2)}, 400}, {"req-000001", 400},
+			{[]string{"job-1"}, 400}, {[]any{1}, 400}, {[]string{""}, 400}, {map[string]int{}, 400}, {many, 400},
+		} {
+			c.w.Refused(sweep(2, "stage", 1), func(m map[string]any) { m["awaits"] = b.awaits }, b.want)
+		}
+		second := after(sweep(2, "stage", 1), first.ID, first.ID)
+		c.submit(second, 5)
+		// Naming the one behind it now: it is known, so its first description stands.
+		if st := c.w.Submit(after(first, second.ID), 5); st != 200 {
+			t.Errorf("an accepted job submitted again gets %d", st)
+		}
+		none := sweep(3, "stage", 1)
+		none.Awaits = []string{}
+		c.submit(none, 5)
+		c.untilDone(3*time.Minute, first.ID, second.ID, none.ID)
+	})
+}
+
+// No controller calls a job queued that waits for a cancelled one, although there is
+// no leader to close it.
+func TestCancelledChainWithoutLeader(t *testing.T) {
+	dep := deployment()
+	dep.Teams[0].CoresMax = 2 // the first job never begins beside another
+	runIn(t, 62, nodeNames, dep, func(c *cluster) {
+		refs := []string{jobID(1), jobID(2), jobID(3)}
+		c.submit(sweep(1, "stage", 2), 1000)
+		c.submit(after(sweep(2, "stage", 1), refs[0]), 5)
+		c.submit(after(sweep(3, "stage", 1), refs[1]), 5)
+		// All controllers take a node for the leader that is none.
+		c.w.State.Put(ledger.KeyTerm, ledger.Term{N: 99, Node: "gone"})
+		c.w.State.Put(ledger.KeyLeader, ledger.Term{N: 99, Node: "gone"})
+		c.until("nobody leads", time.Minute, func() bool { return c.leader() == "" })
+		c.w.Withdraw(refs[0])
+		time.Sleep(time.Duration(dep.Workers.CancelS) * time.Second)
+		for _, addr := range slices.Clone(c.w.Nodes) {
+			c.w.Asked = []string{addr}
+			for _, ref := range refs {
+				if got := c.phase(ref); got != wire.PhaseCancelled {
+					t.Errorf("%s is %s at %s", ref, got, addr)
+				}
+			}
+		}
+		if c.leader() != "" {
+			t.Error("somebody led")
+		}
+	})
+}
+
+// A dependency whose records can't be read leaves the job waiting: it neither starts
+// nor is forgotten nor called done.
+func TestUnreadableDependency(t *testing.T) {
+	run(t, 63, func(c *cluster) {
+		c.submit(sweep(1, "stage", 1), 5)
+		c.submit(sweep(2, "stage", 1), 5)
+		c.untilDone(2*time.Minute, jobID(1), jobID(2))
+		c.w.State.Spoil(ledger.FinalKey(jobID(1)))
+		c.restartAll() // nobody remembers it
+		c.until("a node leads", time.Minute, func() bool { return c.leader() != "" })
+		c.submit(after(sweep(3, "stage", 1), jobID(1)), 5)
+		c.submit(after(sweep(4, "stage", 1), jobID(2)), 5)
+		c.untilDone(2*time.Minute, jobID(4))
+		for range 20 {
+			time.Sleep(5 * time.Second)
+			if status, st := c.w.Poll(jobID(3)); status != 200 || st.Phase != wire.PhaseQueued {
+				t.Fatalf("%d %s", status, st.Phase)
+			}
+		}
+		c.w.Withdraw(jobID(3))
+	})
+}
+
+// Chains go on, and are cancelled, while leaders change at any moment, events are
+// lost and transactions are carried out late.
+func TestChainsThroughTakeovers(t *testing.T) {
+	for seed := range seeds(3) {
+		run(t, 640+seed, func(c *cluster) {
+			rng := rand.New(rand.NewPCG(seed, 9))
+			c.w.State.LoseEvent = func(string) bool { return c.w.Random() < 0.1 }
+			c.w.State.Late = c.lateCommits(0.05)
+			var whole []string
+			for i := range 4 {
+				refs := c.pipeline(100 * (i + 1))
+				if i%2 == 0 {
+					whole = append(whole, refs...)
+				} else {
+					k := rng.IntN(4)
+					go func() {
+						time.Sleep(time.Duration(rng.IntN(20)) * time.Second)
+						c.w.Withdraw(refs[k])
+					}()
+				}
+				time.Sleep(time.Duration(rng.IntN(5)) * time.Second)
+				old := c.killLeader()
+				time.Sleep(time.Duration(rng.IntN(3)) * time.Second)
+				c.boot(old)
+			}
+			c.w.State.LoseEvent, c.w.State.Late = nil, nil
+			c.untilDone(8*time.Minute, whole...)
+			c.until("nothing is open", 5*time.Minute, func() bool {
+				return !slices.ContainsFunc(c.jobs, func(ref string) bool {
+					p := c.phase(ref)
+					return p == wire.PhaseQueued || p == wire.PhaseRunning
+				})
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/api/lookup.go
@@ -0,0 +1,100 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// errUnreadable: a record is there but cannot be read.
+var errUnreadable = errors.New("unreadable record")
+
+// known is a job as found in the state service.
+type known struct {
+	status wire.JobStatus
+	open   ledger.OpenJob
+	ver    uint64 // of the open record; 0: the job is over
+	broken bool   // its open record cannot be read, so it cannot be rewritten
+}
+
+// find reads a job; nil means that it was never accepted. The final record is
+// read after the open one, and closing moves the job in one commit, so a job
+// found at neither place was at neither when the open record was read.
+func (u *Users) find(ctx context.Context, ref string) (*known, error) {
+	u.mu.Lock()
+	st, ok := u.finals[ref]
+	u.mu.Unlock()
+	if ok {
+		return &known{status: st}, nil
+	}
+	// All records of an open job in one read: o/<ref>, o/<ref>/t and its further
+	// pieces sort next to each other.
+	page, err := u.Store.List(ctx, ledger.OpenKey(ref), "", 1+tuning.PiecesRead)
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Items) > 0 && page.Items[0].Key == ledger.OpenKey(ref) {
+		return u.openJob(ref, page.Items), nil
+	}
+	return u.finalJob(ctx, ref)
+}
+
+// openJob makes of an open job's records what its user may be told.
+func (u *Users) openJob(ref string, items []wire.Item) *known {
+	k := &known{ver: items[0].Version, status: wire.JobStatus{ID: ref, Phase: wire.PhaseQueued}}
+	if err := wire.Unmarshal(items[0].Value, &k.open); err != nil {
+		// That the record is there says that the job was accepted. Refusing
+		// to answer would make it forgotten.
+		u.Log.Error("unreadable job record", "job", ref, "err", err)
+		k.open = ledger.OpenJob{Cancelled: ledger.SaysCancelled(items[0].Value)}
+		k.broken = true
+	}
+	pieces := map[int]ledger.Run{}
+	for _, it := range items[1:] {
+		of, number := ledger.SplitOpen(it.Key)
+		var r ledger.Run
+		if of == ref && number != ledger.NoPiece && wire.Unmarshal(it.Value, &r) == nil {
+			pieces[number] = r
+		}
+	}
+	run := ledger.Assemble(pieces)
+	k.status.Done, k.status.Running = run.Done.Count(), len(run.Live)
+	if k.status.Running > 0 {
+		k.status.Phase = wire.PhaseRunning
+	}
+	if k.open.Cancelled {
+		k.status.Phase = wire.PhaseCancelled
+		u.acks.add(ref)
+	}
+	return k
+}
+
+// finalJob reads the final record of a job; nil means that there is none.
+func (u *Users) finalJob(ctx context.Context, ref string) (*known, error) {
+	it, err := u.Store.Get(ctx, ledger.FinalKey(ref))
+	if errors.Is(err, statestore.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var f ledger.Final
+	if err := wire.Unmarshal(it.Value, &f); err != nil {
+		return nil, fmt.Errorf("%w of %s: %w", errUnreadable, ref, err)
+	}
+	// Nothing of a job with a final record can run, so to say that it is cancelled
+	// is no acknowledgment that a leader would have to know of.
+	st := wire.JobStatus{ID: ref, Phase: f.Phase, Done: f.Tasks}
+	u.mu.Lock()
+	if len(u.finals) >= tuning.FinalCache {
+		clear(u.finals)
+	}
+	u.finals[ref] = st
+	u.mu.Unlock()
+	return &known{status: st}, nil
+}
--- a/internal/api/page.go
+++ b/internal/api/page.go
@@ -24,11 +24,15 @@
 <p>This is {{.Name}}. {{if .Leader}}{{.Leader}} leads.{{else}}Nobody is known to lead.{{end}}
 The state service {{if .StateOK}}answers{{else}}<b class="bad">does not answer</b>{{end}}.
 {{if .Have}}The cloud {{if .S.CloudOK}}answers{{else}}<b class="bad">does not answer</b>{{end}}.{{end}}</p>
-{{if .Have}}<h2>Jobs</h2><table><tr><th>kind</th><th>waiting</th><th>running</th><th>late</th></tr>
-{{range .S.Classes}}<tr><td>{{.Class}}</td><td>{{.Waiting}}</td><td>{{.Running}}</td><td>{{.Late}}</td></tr>
+{{if .Have}}<h2>Jobs</h2><table><tr><th>kind</th><th>waiting</th><th>waiting for other jobs</th><th>running</th><th>late</th></tr>
+{{range .S.Classes}}<tr><td>{{.Class}}</td><td>{{.Waiting}}</td><td>{{.Blocked}}</td><td>{{.Running}}</td><td>{{.Late}}</td></tr>
 {{end}}</table>
 <h2>Machines</h2><table><tr><th>type</th><th>up</th><th>starting or silent</th></tr>
 {{range .S.Machines}}<tr><td>{{.Type}}{{if .Spot}} (cheap){{end}}</td><td>{{.Up}}</td><td>{{.Other}}</td></tr>
+{{end}}</table>
+<h2>Versions</h2><p>The cluster uses format version {{.S.Format}} of its records.</p>
+<table><tr><th>controller</th><th>reads version</th></tr>
+{{range .S.Versions}}<tr><td>{{.Node}}</td><td>{{.Format}}</td></tr>
 {{end}}</table>{{end}}
 </body></html>
 `))
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -37,13 +36,14 @@
 
 	types  atomic.Pointer[[]sched.Type]
 	acks   acknowledged
-	mu     sync.Mutex // guards finals
+	mu     sync.Mutex // guards finals and checks
 	finals map[string]wire.JobStatus
+	checks map[string]time.Time // see dependencyCheckDue
 }
 
 // NewUsers makes the users' side of a node.
 func NewUsers(c *config.Config, store *statestore.Client, log *slog.Logger) *Users {
-	return &Users{Config: c, Store: store, Log: log, acks: newAcknowledged(time.Now()), finals: map[string]wire.JobStatus{}}
+	return &Users{Config: c, Store: store, Log: log, acks: newAcknowledged(time.Now()), finals: map[string]wire.JobStatus{}, checks: map[string]time.Time{}}
 }
 
 // SetTypes tells which machine types there are; before, nothing is accepted.
@@ -108,77 +108,6 @@
 	return out
 }
 
-// known is a job as found in the state service.
-type known struct {
-	status wire.JobStatus
-	open   ledger.OpenJob
-	ver    uint64 // of the open record; 0: the job is over
-	broken bool   // its open record cannot be read, so it cannot be rewritten
-}
-
-// find reads a job; nil means that it was never accepted. The final record is
-// read after the open one, and closing moves the job in one commit, so a job
-// found at neither place was at neither when the open record was read.
-func (u *Users) find(ctx context.Context, ref string) (*known, error) {
-	u.mu.Lock()
-	st, ok := u.finals[ref]
-	u.mu.Unlock()
-	if ok {
-		return &known{status: st}, nil
-	}
-	// Both records of an open job in one read: o/<ref> and o/<ref>/t sort
-	// next to each other.
-	page, err := u.Store.List(ctx, ledger.OpenKey(ref), "", 2)
-	if err != nil {
-		return nil, err
-	}
-	if len(page.Items) > 0 && page.Items[0].Key == ledger.OpenKey(ref) {
-		k := &known{ver: page.Items[0].Version, status: wire.JobStatus{ID: ref, Phase: wire.PhaseQueued}}
-		if err := wire.Unmarshal(page.Items[0].Value, &k.open); err != nil {
-			// That the record is there says that the job was accepted. Refusing
-			// to answer would make it forgotten.
-			u.Log.Error("unreadable job record", "job", ref, "err", err)
-			k.open.Cancelled = ledger.SaysCancelled(page.Items[0].Value)
-			k.broken = true
-		}
-		if len(page.Items) > 1 && page.Items[1].Key == ledger.RunKey(ref) {
-			var r ledger.Run
-			if err := wire.Unmarshal(page.Items[1].Value, &r); err == nil {
-				k.status.Done, k.status.Running = r.Done.Count(), len(r.Live)
-			}
-		}
-		if k.status.Running > 0 {
-			k.status.Phase = wire.PhaseRunning
-		}
-		if k.open.Cancelled {
-			k.status.Phase = wire.PhaseCancelled
-			u.acks.add(ref)
-		}
-		return k, nil
-	}
-	it, err := u.Store.Get(ctx, ledger.FinalKey(ref))
-	if errors.Is(err, statestore.ErrNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	var f ledger.Final
-	if err := wire.Unmarshal(it.Value, &f); err != nil {
-		return nil, fmt.Errorf("unreadable record of %s: %w", ref, err)
-	}
-	// Nothing of a job with a final record can run, so to say that it is cancelled
-	// is no acknowledgment that a leader would have to know of.
-	st = wire.JobStatus{ID: ref, Phase: f.Phase, Done: f.Tasks}
-	u.mu.Lock()
-	if len(u.finals) >= tuning.FinalCache {
-		clear(u.finals)
-	}
-	u.finals[ref] = st
-	u.mu.Unlock()
-	return &known{status: st}, nil
-}
-
 // settle runs one attempt after another until there is a certain answer. Being
 // throttled is waited out a few times; a refusal is passed on at once.
 func (u *Users) settle(ctx context.Context, tries int, try func() (answer, error)) answer {
@@ -193,7 +122,7 @@
 			}
 		case errors.Is(err, statestore.ErrRefused):
 			return refused
-		case errors.Is(err, statestore.ErrMalformed):
+		case errors.Is(err, statestore.ErrMalformed), errors.Is(err, statestore.ErrTooLarge):
 			u.Log.Error("record refused", "err", err)
 			return busy
 		}
@@ -210,7 +139,7 @@
 		return fault(404, errors.New("no such job"))
 	}
 	return u.settle(ctx, tuning.PollThrottleTries, func() (answer, error) {
-		k, err := u.find(ctx, ref)
+		k, err := u.current(ctx, ref)
 		if err != nil {
 			return answer{}, err
 		}
@@ -231,18 +160,7 @@
 		return busy
 	}
 	if err := u.runnable(job, *types); err != nil {
-		// A job that was accepted stays accepted, also if the catalog has
-		// changed since.
-		return u.settle(ctx, tuning.UserThrottleTries, func() (answer, error) {
-			k, ferr := u.find(ctx, job.ID)
-			switch {
-			case ferr != nil:
-				return answer{}, ferr
-			case k != nil:
-				return answer{status: 200, body: k.status}, nil
-			}
-			return fault(422, err), nil
-		})
+		return u.refuse(ctx, job.ID, 422, err)
 	}
 	// Only types that exist are kept: a long list of others must not make the
 	// record too large for the state service.
@@ -252,28 +170,77 @@
 	slices.Sort(job.Types)
 	job.Types = slices.Compact(job.Types)
 	open := ledger.OpenJob{Job: *job, AtMS: time.Now().UnixMilli()}
+	if err := u.fits(open); err != nil {
+		return u.refuse(ctx, job.ID, 400, err)
+	}
+	return u.settle(ctx, tuning.UserThrottleTries, func() (answer, error) { return u.accept(ctx, open) })
+}
+
+// refuse answers a submission that cannot be accepted. A job that was accepted
+// stays accepted, also if the catalog has changed since.
+func (u *Users) refuse(ctx context.Context, ref string, status int, reason error) answer {
 	return u.settle(ctx, tuning.UserThrottleTries, func() (answer, error) {
-		_, err := u.Store.Commit(ctx, wire.Commit{
-			Guards:  []wire.Guard{{Key: ledger.OpenKey(job.ID)}, {Key: ledger.FinalKey(job.ID)}},
-			Changes: []wire.Change{{Set: ledger.OpenKey(job.ID), Value: open}},
-		})
-		if err == nil {
-			return answer{status: 201, body: wire.JobStatus{ID: job.ID, Phase: wire.PhaseQueued}}, nil
-		}
-		if !errors.Is(err, statestore.ErrConflict) {
-			return answer{}, err
-		}
-		k, err := u.find(ctx, job.ID)
-		if err != nil {
+		k, err := u.current(ctx, ref)
+		switch {
+		case err != nil:
 			return answer{}, err
+		case k != nil:
+			return answer{status: 200, body: k.status}, nil
 		}
-		if k == nil {
-			return answer{}, statestore.ErrUnknown // guards failed, yet nothing is there: look again
-		}
-		return answer{status: 200, body: k.status}, nil
+		return fault(status, reason), nil
 	})
 }
 
+// fits tells whether a job's record is within the limits that the state service
+// will have, so that it can be rewritten at any time.
+func (u *Users) fits(open ledger.OpenJob) error {
+	open.Cancelled = true // it may become so
+	raw, err := wire.Marshal(open)
+	if err != nil {
+		return err
+	}
+	size, err := wire.JSONSize(raw)
+	if err == nil && size > u.Config.Deployment.State.Smaller().ValueBytes() {
+		err = errors.New("the description is too long to be kept")
+	}
+	return err
+}
+
+// accept writes the record of a job, unless the job is known already.
+func (u *Users) accept(ctx context.Context, open ledger.OpenJob) (answer, error) {
+	ref := open.Job.ID
+	state, err := u.dependencies(ctx, open.Job.Awaits)
+	switch {
+	case err != nil:
+		return answer{}, err
+	case state == dependencyUnknown:
+		return u.refuse(ctx, ref, 422, errors.New("field awaits names a job that was never accepted")), nil
+	}
+	open.Cancelled = state == dependencyCancelled
+	_, err = u.Store.Commit(ctx, wire.Commit{
+		Guards:  []wire.Guard{{Key: ledger.OpenKey(ref)}, {Key: ledger.FinalKey(ref)}},
+		Changes: []wire.Change{{Set: ledger.OpenKey(ref), Value: open}},
+	})
+	if err == nil {
+		phase := wire.PhaseQueued
+		if open.Cancelled {
+			phase = wire.PhaseCancelled
+		}
+		return answer{status: 201, body: wire.JobStatus{ID: ref, Phase: phase}}, nil
+	}
+	if !errors.Is(err, statestore.ErrConflict) {
+		return answer{}, err
+	}
+	k, err := u.current(ctx, ref)
+	if err != nil {
+		return answer{}, err
+	}
+	if k == nil {
+		return answer{}, statestore.ErrUnknown // guards failed, yet nothing is there: look again
+	}
+	return answer{status: 200, body: k.status}, nil
+}
+
 // runnable tells why a job can never run.
 func (u *Users) runnable(j *wire.Job, types []sched.Type) error {
 	team := u.Config.Team(j.Team)
@@ -316,19 +283,33 @@
 		case k.broken:
 			return busy, nil
 		}
-		k.open.Cancelled = true
-		_, err = u.Store.Commit(ctx, wire.Commit{
-			Guards:  []wire.Guard{{Key: ledger.OpenKey(ref), Version: k.ver}},
-			Changes: []wire.Change{{Set: ledger.OpenKey(ref), Value: k.open}},
-		})
-		if errors.Is(err, statestore.ErrConflict) {
-			return answer{}, statestore.ErrUnknown // it changed meanwhile: look again
-		}
-		if err != nil {
+		if err := u.markCancelled(ctx, k); err != nil {
 			return answer{}, err
 		}
-		u.acks.add(ref)
-		k.status.Phase = wire.PhaseCancelled
 		return answer{status: 200, body: k.status}, nil
 	})
 }
+
+// markCancelled writes into a job's open record that it is cancelled.
+func (u *Users) markCancelled(ctx context.Context, k *known) error {
+	ref := k.status.ID
+	k.open.Cancelled = true
+	if u.fits(k.open) != nil {
+		// Accepted under larger limits. Nothing of it starts any more, so what
+		// only says where and when it may start is not needed.
+		k.open.Job.Types, k.open.Job.Awaits = nil, nil
+	}
+	_, err := u.Store.Commit(ctx, wire.Commit{
+		Guards:  []wire.Guard{{Key: ledger.OpenKey(ref), Version: k.ver}},
+		Changes: []wire.Change{{Set: ledger.OpenKey(ref), Value: k.open}},
+	})
+	if errors.Is(err, statestore.ErrConflict) {
+		return statestore.ErrUnknown // it changed meanwhile: look again
+	}
+	if err != nil {
+		return err
+	}
+	u.acks.add(ref)
+	k.status.Phase = wire.PhaseCancelled
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,14 +48,51 @@
 	CancelS   float64 `json:"cancel_s"`
 }
 
-// State holds the limits of the state service.
-type State struct {
+// StateLimits holds limits of the state service.
+type StateLimits struct {
 	RPS      float64 `json:"rps"`
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
 }
 
+// NextLimits holds the limits that the state service will have; a field left out
+// stays as it is.
+type NextLimits struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
+// State holds the present limits of the state service and those announced for
+// some moment after an upgrade.
+type State struct {
+	StateLimits
+	Next NextLimits `json:"next"`
+}
+
+// Smaller returns for each limit the smaller of the present and the announced
+// one: what respects it is accepted before and after the change.
+func (s State) Smaller() StateLimits {
+	return StateLimits{
+		RPS:      smaller(s.RPS, s.Next.RPS),
+		WriteRPS: smaller(s.WriteRPS, s.Next.WriteRPS),
+		ValueKB:  smaller(s.ValueKB, s.Next.ValueKB),
+		TxnOps:   smaller(s.TxnOps, s.Next.TxnOps),
+	}
+}
+
+func smaller[T int | float64](present T, next *T) T {
+	if next == nil {
+		return present
+	}
+	return min(present, *next)
+}
+
+// ValueBytes is the largest value in bytes as JSON.
+func (l StateLimits) ValueBytes() int { return int(l.ValueKB * 1024) }
+
 // Cloud holds the limits of the cloud.
 type Cloud struct {
 	RPS      float64 `json:"rps"`
@@ -227,8 +264,23 @@
 	if d.Limits.MemoryMB < tuning.MemoryLeastMB {
 		return fmt.Errorf("field deployment.limits.memory_mb: %v is too little to serve with, below %d", d.Limits.MemoryMB, tuning.MemoryLeastMB)
 	}
-	if d.State.TxnOps < 4 {
-		return errors.New("field deployment.state.txn_ops: below 4, the changes that end a job")
+	if err := d.State.check("deployment.state"); err != nil {
+		return err
+	}
+	return d.State.Smaller().check("deployment.state.next")
+}
+
+// check refuses limits within which the service could not keep its records.
+func (l StateLimits) check(field string) error {
+	switch {
+	case !(l.RPS > 0):
+		return fmt.Errorf("field %s.rps: not above 0", field)
+	case !(l.WriteRPS > 0):
+		return fmt.Errorf("field %s.write_rps: not above 0", field)
+	case l.TxnOps < tuning.TxnOpsLeast:
+		return fmt.Errorf("field %s.txn_ops: below %d, the changes that end a job", field, tuning.TxnOpsLeast)
+	case l.ValueKB < tuning.ValueLeastKB:
+		return fmt.Errorf("field %s.value_kb: below %v, what a record takes", field, tuning.ValueLeastKB)
 	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -42,6 +42,12 @@
 		{strings.Replace(good, `"cpus":1`, `"cpus":-1`, 1), "", "teams[0]"},
 		{strings.Replace(good, `"sockets":1800`, `"sockets":60`, 1), "", "limits.sockets"},
 		{strings.Replace(good, `"memory_mb":180`, `"memory_mb":8`, 1), "", "limits.memory_mb"},
+		{strings.Replace(good, `"txn_ops":20`, `"txn_ops":20,"next":{"txn_ops":3}`, 1), "", "state.next.txn_ops"},
+		{strings.Replace(good, `"txn_ops":20`, `"txn_ops":20,"next":{"value_kb":0}`, 1), "", "state.next.value_kb"},
+		{strings.Replace(good, `"txn_ops":20`, `"txn_ops":20,"next":{"write_rps":-4}`, 1), "", "state.next.write_rps"},
+		{strings.Replace(good, `"txn_ops":20`, `"txn_ops":20,"next":{"rps":0}`, 1), "", "state.next.rps"},
+		{strings.Replace(good, `"txn_ops":20`, `"txn_ops":20,"next":{"rps":"x"}`, 1), "", "state.next.rps"},
+		{strings.Replace(good, `"value_kb":32`, `"value_kb":1.5`, 1), "", "state.value_kb"},
 		{good, "rho = -1", "rho"},
 		{good, "estimator = \"guess\"", "estimator"},
 		{good, "cloud_call_share = 2.0", "cloud_call_share"},
@@ -60,6 +66,19 @@
 	}
 }
 
+// Announced limits count only where they are smaller; without any, today's stand.
+func TestSmallerLimits(t *testing.T) {
+	today := StateLimits{RPS: 250, WriteRPS: 25, ValueKB: 32, TxnOps: 20}
+	if got := (State{StateLimits: today}).Smaller(); got != today {
+		t.Errorf("without announced limits %+v", got)
+	}
+	rps, value, ops := 400.0, 2.0, 6
+	got := State{StateLimits: today, Next: NextLimits{RPS: &rps, ValueKB: &value, TxnOps: &ops}}.Smaller()
+	if want := (StateLimits{RPS: 250, WriteRPS: 25, ValueKB: 2, TxnOps: 6}); got != want {
+		t.Errorf("smaller limits %+v instead of %+v", got, want)
+	}
+}
+
 // The parts of the sockets never make up more than there are, and what serves
 // users and workers gets the most of them.
 func TestSockets(t *testing.T) {
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -12,6 +12,7 @@
 	"marblehaven/internal/election"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
@@ -21,13 +22,15 @@
 	cfg := &config.Config{Operator: config.DefaultOperator()}
 	d := &cfg.Deployment
 	d.Workers = config.Workers{ReportS: 2.5, LeaseS: 12, GangWaitS: 35, GangPeerS: 4, CancelS: 37}
-	d.State = config.State{RPS: 250, WriteRPS: 25, ValueKB: 32, TxnOps: 20}
+	d.State = config.State{StateLimits: config.StateLimits{RPS: 250, WriteRPS: 25, ValueKB: 32, TxnOps: 20}}
 	d.Cloud = config.Cloud{RPS: 4, ListLagS: 10}
 	d.Limits = config.Limits{CPUShare: 0.1, MemoryMB: 200, Sockets: 4000}
 	for i := range 10 {
 		d.Teams = append(d.Teams, config.Team{Name: fmt.Sprint("t", i), Cores: 900, CoresMax: 10000})
 	}
-	c := New(Deps{Config: cfg, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), OnTerm: func(uint64) {}, Resign: func() {}, Redirected: func() int { return 0 }}, election.Held{N: 1, Stamp: 1})
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	store := statestore.New("state:1", &calls{}, wire.NewComplaints(log), d.State)
+	c := New(Deps{Config: cfg, Store: store, Log: log, OnTerm: func(uint64) {}, Resign: func() {}, Redirected: func() int { return 0 }}, election.Held{N: 1, Stamp: 1})
 	c.Bind(context.Background())
 	now := time.Now()
 	c.takeover, c.asOfFollow, c.asOfTerm = now, now, now
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -2,47 +2,83 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
-	"marblehaven/internal/cloud"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/pause"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // batch is one commit under way and what it means once applied.
 type batch struct {
-	txn   wire.Commit
-	runs  []runWrite
-	over  []*job
-	claim []*claim // written
-	drop  []*claim // deleted
-	bytes int
+	txn       wire.Commit
+	runs      []runWrite
+	closed    []*job
+	claims    []*claim   // written
+	drops     []*claim   // deleted
+	leftovers []leftover // deleted
+	atMS      int64      // the time of day that final records carry
+	opsMost   int        // changes that the transaction may have
+	bytes     int
 }
 
+// runWrite is a piece of a job's run record in a batch.
 type runWrite struct {
-	j      *job
+	job    *job
+	number int
 	placed []*fleet.Placement
 	done   []int
 }
 
+// leftover is a piece of a finished job's run record.
+type leftover struct {
+	key     string
+	version uint64
+}
+
+// room tells whether some more changes of so many bytes as JSON fit.
+func (b *batch) room(changes, bytes int) bool {
+	return len(b.txn.Changes)+changes <= b.opsMost && b.bytes+bytes <= tuning.CommitBytes
+}
+
+func (b *batch) guard(key string, version uint64) {
+	b.txn.Guards = append(b.txn.Guards, wire.Guard{Key: key, Version: version})
+}
+
+func (b *batch) put(key string, value any, bytes int) {
+	b.txn.Changes = append(b.txn.Changes, wire.Change{Set: key, Value: value})
+	b.bytes += bytes
+}
+
+func (b *batch) remove(key string) {
+	b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: key})
+	b.bytes += smallRecordBytes
+}
+
+// smallRecordBytes is more than a record of fixed form takes in a transaction, in
+// bytes as JSON.
+const smallRecordBytes = 400
+
 // probe names a key whose version tells whether the batch was applied, and the
-// version that it had before.
+// version that it had before; 0: it did not exist.
 func (b *batch) probe() (key string, was uint64) {
 	switch {
-	case len(b.over) > 0:
-		return ledger.FinalKey(b.over[0].ref), 0
+	case len(b.closed) > 0:
+		return ledger.FinalKey(b.closed[0].ref), 0
 	case len(b.runs) > 0:
-		return ledger.RunKey(b.runs[0].j.ref), b.runs[0].j.runVer
-	case len(b.claim) > 0:
-		return ledger.ClaimKey(b.claim[0].Claim.Claim), 0
+		w := b.runs[0]
+		return ledger.PieceKey(w.job.ref, w.number), w.job.piece(w.number).version
+	case len(b.claims) > 0:
+		return ledger.ClaimKey(b.claims[0].Claim.Claim), 0
+	case len(b.leftovers) > 0:
+		return b.leftovers[0].key, b.leftovers[0].version
 	}
 	return "", 0
 }
@@ -55,90 +91,190 @@
 	if c.inCommit != nil || now.Before(c.commitAfter) {
 		return
 	}
-	limit := c.Config.Deployment.State.TxnOps
-	limit = min(limit, int(c.writes.TokensAt(now)))
-	b := &batch{txn: wire.Commit{Guards: []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}}}}
-	ops, spare := 0, 0
-	add := func(n, size int) bool {
-		if ops+n > limit-spare || b.bytes+size > tuning.CommitBytes {
-			return false
+	budget := int(c.writes.TokensAt(now))
+	b := &batch{opsMost: min(c.Store.TxnOps(), budget), atMS: now.UnixMilli()}
+	b.guard(ledger.KeyTerm, c.term.Stamp)
+	c.addClaims(b)
+	c.addJobs(b, budget, now)
+	c.addDrops(b)
+	c.addLeftovers(b)
+	changes := len(b.txn.Changes)
+	if changes == 0 {
+		return
+	}
+	c.writes.AllowN(now, min(changes, c.writes.Burst()))
+	c.inCommit = b
+	go c.runCommit(b)
+}
+
+func (c *Controller) addClaims(b *batch) {
+	for _, cl := range c.claims {
+		if !cl.recorded && b.room(1, smallRecordBytes) {
+			b.put(ledger.ClaimKey(cl.Claim.Claim), cl.Claim, smallRecordBytes)
+			b.claims = append(b.claims, cl)
 		}
-		ops += n
-		b.bytes += size
-		return true
 	}
+}
+
+func (c *Controller) addDrops(b *batch) {
 	for _, cl := range c.claims {
-		if !cl.recorded && add(1, 200) {
-			b.txn.Changes = append(b.txn.Changes, wire.Change{Set: ledger.ClaimKey(cl.Claim.Claim), Value: cl.Claim})
-			b.claim = append(b.claim, cl)
+		if cl.recorded && cl.drop && b.room(1, smallRecordBytes) {
+			b.remove(ledger.ClaimKey(cl.Claim.Claim))
+			b.drops = append(b.drops, cl)
 		}
 	}
-	var due []*job
+}
+
+// addLeftovers removes pieces of jobs that were closed in an earlier commit.
+func (c *Controller) addLeftovers(b *batch) {
+	for _, l := range c.leftovers {
+		if !b.room(1, smallRecordBytes) {
+			return
+		}
+		b.guard(l.key, l.version)
+		b.remove(l.key)
+		b.leftovers = append(b.leftovers, l)
+	}
+}
+
+// dueWrite is a job to be closed, or a piece of its run record to be written.
+type dueWrite struct {
+	job    *job
+	number int // ledger.NoPiece: the job is to be closed
+	order  int
+	since  time.Time
+}
+
+// dueWrites lists what is to be written of jobs. Starts wait for their records, so
+// they go first; then what users wait to be told; completions of parts of a job can
+// wait, and a worker keeps them.
+func (c *Controller) dueWrites(now time.Time) []dueWrite {
+	var due []dueWrite
 	for _, j := range c.jobs {
 		if j.recordBehind {
 			continue
 		}
-		if j.over() || (j.dirty && (j.urgent || now.Sub(j.dirtyAt) >= tuning.CompletionDelay)) {
-			due = append(due, j)
+		if j.over() {
+			due = append(due, dueWrite{j, ledger.NoPiece, writeClose, j.seenAt})
+			continue
+		}
+		for number := range j.pieces {
+			p := &j.pieces[number]
+			if p.dirty && (p.urgent || now.Sub(p.dirtyAt) >= tuning.CompletionDelay) {
+				due = append(due, dueWrite{j, number, j.writeOrder(p), p.dirtyAt})
+			}
 		}
 	}
-	// Starts wait for their records, so they go first; then what users wait to
-	// be told; completions of parts of a job can wait, and a worker keeps them.
-	slices.SortFunc(due, func(x, y *job) int {
-		return cmp.Or(cmp.Compare(x.writeOrder(), y.writeOrder()), x.dirtyAt.Compare(y.dirtyAt), cmp.Compare(x.ref, y.ref))
+	slices.SortFunc(due, func(x, y dueWrite) int {
+		return cmp.Or(cmp.Compare(x.order, y.order), x.since.Compare(y.since),
+			cmp.Compare(x.job.ref, y.job.ref), cmp.Compare(x.number, y.number))
 	})
-	for _, j := range due {
-		if j.writeOrder() == writeLater {
-			spare = min(c.writes.Burst()/2, limit) // for starts that come next
+	return due
+}
+
+func (c *Controller) addJobs(b *batch, budget int, now time.Time) {
+	for _, d := range c.dueWrites(now) {
+		if d.order == writeLater {
+			// A part of the budget is left for starts that come next.
+			b.opsMost = min(b.opsMost, budget-c.writes.Burst()/2)
 		}
-		guards := []wire.Guard{{Key: ledger.OpenKey(j.ref), Version: j.openVer}, {Key: ledger.RunKey(j.ref), Version: j.runVer}}
-		if j.over() {
-			if !add(3, 400) {
-				continue
-			}
-			phase := wire.PhaseDone
-			if j.cancelled {
-				phase = wire.PhaseCancelled
-			}
-			b.txn.Guards = append(b.txn.Guards, guards...)
-			b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.OpenKey(j.ref)},
-				wire.Change{Set: ledger.FinalKey(j.ref), Value: ledger.Final{Phase: phase, Tasks: j.nDone}})
-			if j.runVer > 0 {
-				b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.RunKey(j.ref)})
-			}
-			b.over = append(b.over, j)
-			continue
+		if !b.room(1, 0) {
+			return
 		}
-		r := j.record()
-		if !add(1, 300+len(r.Live)*tuning.RecordEntryBytes+len(r.Done)*16) {
-			continue
+		if d.number == ledger.NoPiece {
+			b.close(d.job)
+		} else {
+			c.addPiece(b, d.job, d.number, now)
 		}
-		w := runWrite{j: j}
-		for _, p := range j.live {
-			if !p.Recorded {
-				w.placed = append(w.placed, p)
-			}
+	}
+}
+
+// close moves a job from its open to its final record. Pieces of its run record
+// that do not fit in the transaction are removed later: without an open record
+// nothing counts them.
+func (b *batch) close(j *job) {
+	const openAndFinal = 2
+	if !b.room(openAndFinal+1, openAndFinal*smallRecordBytes) {
+		return
+	}
+	phase := wire.PhaseDone
+	if j.cancelled {
+		phase = wire.PhaseCancelled
+	}
+	b.guard(ledger.OpenKey(j.ref), j.openVer)
+	b.remove(ledger.OpenKey(j.ref))
+	final := ledger.Final{Phase: phase, Tasks: j.nDone, AtMS: b.atMS}
+	b.put(ledger.FinalKey(j.ref), final, smallRecordBytes)
+	for number := range j.pieces {
+		p := &j.pieces[number]
+		if p.version == 0 || !b.room(1, smallRecordBytes) {
+			continue
 		}
-		for n := range j.pendingDone {
-			w.done = append(w.done, n)
+		key := ledger.PieceKey(j.ref, number)
+		b.guard(key, p.version)
+		b.remove(key)
+		p.removed = true
+	}
+	b.closed = append(b.closed, j)
+}
+
+// addPiece writes a piece of a job's run record.
+func (c *Controller) addPiece(b *batch, j *job, number int, now time.Time) {
+	record, err := wire.Marshal(j.record(number))
+	if err != nil {
+		c.Log.Error("encoding a run record", "job", j.ref, "err", err)
+		return
+	}
+	size, err := wire.JSONSize(record)
+	if err != nil || size > c.Store.ValueBytes() {
+		c.onRecordTooLarge(j, number, now)
+		return
+	}
+	if !b.room(1, size) {
+		return
+	}
+	w := runWrite{job: j, number: number}
+	for _, p := range j.live {
+		if !p.Recorded && j.owns(number, p.Task) {
+			w.placed = append(w.placed, p)
 		}
-		b.txn.Guards = append(b.txn.Guards, guards...)
-		b.txn.Changes = append(b.txn.Changes, wire.Change{Set: ledger.RunKey(j.ref), Value: r})
-		b.runs = append(b.runs, w)
-		j.dirty, j.urgent = false, false
 	}
-	for _, cl := range c.claims {
-		if cl.recorded && cl.drop && add(1, 100) {
-			b.txn.Changes = append(b.txn.Changes, wire.Change{Delete: ledger.ClaimKey(cl.Claim.Claim)})
-			b.drop = append(b.drop, cl)
+	for task := range j.pendingDone {
+		if j.owns(number, task) {
+			w.done = append(w.done, task)
 		}
 	}
-	if ops == 0 {
+	p := j.piece(number)
+	key := ledger.PieceKey(j.ref, number)
+	b.guard(ledger.OpenKey(j.ref), j.openVer)
+	b.guard(key, p.version)
+	b.put(key, msgpack.RawMessage(record), size)
+	b.runs = append(b.runs, w)
+	p.dirty, p.urgent = false, false
+}
+
+// onRecordTooLarge finds a way on for a record that the state service would refuse.
+// A record of the whole job is divided: its pieces are written first, and then what
+// is left of it fits. Where it may not be divided yet, what was not sent is taken
+// back, and the rest is written when enough of it has ended.
+func (c *Controller) onRecordTooLarge(j *job, number int, now time.Time) {
+	c.changed = true
+	head := j.piece(number)
+	if c.format >= ledger.FormatPieces && number == 0 && j.divide(head.urgent, now) {
 		return
 	}
-	c.writes.AllowN(now, min(ops, c.writes.Burst()))
-	c.inCommit = b
-	go c.runCommit(b)
+	c.Log.Error("run record beyond the limits", "job", j.ref, "piece", number, "running", len(j.live))
+	var unsent []*fleet.Placement
+	for _, p := range j.live {
+		if !p.Recorded && j.owns(number, p.Task) {
+			unsent = append(unsent, p)
+		}
+	}
+	for _, p := range unsent {
+		c.unplace(p, now)
+	}
+	head.urgent, head.dirtyAt = false, now
+	j.restUntil = now.Add(tuning.MachineBackoff)
 }
 
 // runCommit carries a commit through to a certain outcome. Without an answer it
@@ -165,7 +301,7 @@
 				pause.For(ctx, tuning.ElectionRetry)
 				continue
 			}
-			if gerr == nil && it.Version != was {
+			if it.Version != was {
 				r.Revision, err = it.Version, nil
 			}
 		}
@@ -177,298 +313,111 @@
 func (c *Controller) onCommit(m commitMsg, now time.Time) {
 	c.inCommit = nil
 	c.changed = true
-	b := m.b
 	if m.err != nil {
-		for _, w := range b.runs {
-			w.j.dirty, w.j.urgent = true, w.j.urgent || len(w.placed) > 0
-		}
-		if errors.Is(m.err, statestore.ErrConflict) {
-			if slices.Contains(m.failed, ledger.KeyTerm) {
-				c.Log.Info("the term was taken by another node")
-				c.OnTerm(c.term.N + 1)
-				return
-			}
-			c.Log.Debug("commit refused", "failed", m.failed)
-			if c.conflictAt.IsZero() {
-				c.conflictAt = now
-			}
-			if now.Sub(c.conflictAt) > tuning.ConflictGiveUp {
-				// The records are not what we take them for, and nothing would
-				// be written ever again: a new term reads them anew.
-				c.Log.Error("records have changed behind this leader", "keys", m.failed)
-				c.OnTerm(c.term.N + 1)
-				return
-			}
-			// A job was cancelled meanwhile; its event is on the way. Its new
-			// starts are dropped, the rest is written next time.
-			for _, w := range b.runs {
-				if slices.Contains(m.failed, ledger.OpenKey(w.j.ref)) {
-					for _, p := range w.placed {
-						if w.j.live[p.Task] == p {
-							c.unplace(p, now)
-						}
-					}
-				}
-			}
-			c.commitAfter = now.Add(tuning.PassGap)
-			return
-		}
-		if !errors.Is(m.err, statestore.ErrRefused) {
-			c.Log.Error("commit failed", "err", m.err)
-		}
-		c.commitAfter = now.Add(tuning.ElectionRetry)
+		c.onCommitFailed(m, now)
 		return
 	}
-	c.conflictAt = time.Time{}
-	for _, w := range b.runs {
-		w.j.runVer = m.revision
-		for _, n := range w.done {
-			delete(w.j.pendingDone, n)
-		}
-		for _, p := range w.placed {
-			if w.j.live[p.Task] == p {
-				p.Recorded = true
-				p.Machine.Outbox = append(p.Machine.Outbox, p)
-				c.touched[p.Machine] = true
-			}
-		}
+	c.failingSince = time.Time{}
+	for _, w := range m.b.runs {
+		c.onRunWritten(w, m.revision)
 	}
-	for _, j := range b.over {
-		c.Log.Debug("job over", "job", j.ref, "cancelled", j.cancelled)
-		delete(c.jobs, j.ref)
-		c.closed[j.ref] = now
+	for _, j := range m.b.closed {
+		c.onClosed(j, m.b.atMS, now)
 	}
-	for _, cl := range b.claim {
+	for _, cl := range m.b.claims {
 		cl.recorded = true
 	}
-	for _, cl := range b.drop {
+	for _, cl := range m.b.drops {
 		delete(c.claims, cl.Claim.Claim)
 	}
+	c.leftovers = slices.DeleteFunc(c.leftovers, func(l leftover) bool { return slices.Contains(m.b.leftovers, l) })
 	c.dispatchAll(now)
 }
 
-// rent makes a claim for machines, as many as a call may ask for; it is called
-// once it is recorded. The rest is asked for after the answer: of a dozen calls
-// made together most were refused for the reason of the first, and a hundred
-// writes a minute went into claims that rented nothing.
-func (c *Controller) rent(typ, zone string, spot bool, count int, now time.Time) {
-	count = min(count, tuning.RentMax)
-	c.claimSeq++
-	// The term makes the name unique over all leaders, for ever.
-	name := fmt.Sprintf("r-%d-%d", c.term.N, c.claimSeq)
-	c.claims[name] = &claim{Claim: ledger.Claim{Claim: name, Type: typ, Zone: zone, Spot: spot, Count: count, AtMS: now.UnixMilli()}}
-	c.Log.Info("renting", "claim", name, "type", typ, "zone", zone, "spot", spot, "count", count)
-}
-
-// callClaims calls the cloud for recorded claims whose outcome is not known.
-func (c *Controller) callClaims(now time.Time) {
-	for _, cl := range c.claims {
-		if !cl.recorded || cl.calling || cl.settled || now.Before(cl.callAt) {
-			continue
-		}
-		cl.calling = true
-		req := wire.RentRequest{Claim: cl.Claim.Claim, Type: cl.Type, Zone: cl.Zone, Spot: cl.Spot, Count: cl.Count}
-		go func() {
-			hosts, err := c.Cloud.Rent(c.ctx, req)
-			c.send(rentMsg{cl, hosts, err})
-		}()
+// onRunWritten releases what waited for a piece of a run record: starts may be
+// sent, and workers may forget what is done.
+func (c *Controller) onRunWritten(w runWrite, revision uint64) {
+	w.job.piece(w.number).version = revision
+	for _, task := range w.done {
+		delete(w.job.pendingDone, task)
 	}
-}
-
-func (c *Controller) onRent(m rentMsg, now time.Time) {
-	cl := m.c
-	cl.calling = false
-	c.changed = true
-	switch {
-	case m.err == nil:
-		cl.settled, cl.hosts = true, m.hosts
-		c.cloudOK = true
-		for _, id := range m.hosts {
-			if _, ok := c.gone[id]; ok {
-				continue
-			}
-			if c.machines[id] == nil {
-				mc := c.machine(id, time.UnixMilli(cl.AtMS))
-				mc.Type, mc.Zone, mc.Spot = cl.Type, cl.Zone, cl.Spot
-				mc.Rented = now
-			}
-		}
-		if len(m.hosts) < cl.Count {
-			c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
-		} else {
-			delete(c.refused, offer{cl.Type, cl.Zone, cl.Spot})
-		}
-		c.Log.Info("rented", "claim", cl.Claim.Claim, "got", len(m.hosts), "asked", cl.Count)
-	case errors.Is(m.err, cloud.ErrNoCapacity):
-		cl.settled, cl.drop = true, true
-		c.cloudOK = true
-		c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
-		c.Log.Info("no capacity", "type", cl.Type, "zone", cl.Zone, "spot", cl.Spot)
-	default:
-		// The outcome is unknown or the cloud is down: the same claim is
-		// called again, which rents at most once.
-		cl.callAt = now.Add(tuning.MachineBackoff)
-		c.cloudOK = false
-		c.Log.Info("rental call failed", "claim", cl.Claim.Claim, "err", m.err)
-		if errors.Is(m.err, cloud.ErrMalformed) {
-			cl.settled, cl.drop = true, true
-			c.refuse(offer{cl.Type, cl.Zone, cl.Spot}, now)
+	for _, p := range w.placed {
+		if w.job.live[p.Task] == p && !p.Recorded {
+			p.Recorded = true
+			p.Machine.Outbox = append(p.Machine.Outbox, p)
+			c.touched[p.Machine] = true
 		}
 	}
 }
 
-func (c *Controller) refuse(o offer, now time.Time) {
-	r := c.refused[o]
-	if r == nil {
-		r = &refusal{pause: tuning.NoCapacityBackoff}
-		c.refused[o] = r
-	} else {
-		r.pause = min(2*r.pause, tuning.NoCapacityBackoffMax)
-	}
-	r.until = now.Add(r.pause)
-}
-
-// giveBack returns machines on which nothing can be, or which are lost: the
-// cloud's answer proves that all on them is gone.
-func (c *Controller) giveBack(ms []*fleet.Machine, why string, now time.Time) {
-	if len(ms) == 0 {
-		return
+func (c *Controller) onClosed(j *job, atMS int64, now time.Time) {
+	c.Log.Debug("job over", "job", j.ref, "cancelled", j.cancelled)
+	for number, p := range j.pieces {
+		if p.version > 0 && !p.removed {
+			c.leftovers = append(c.leftovers, leftover{ledger.PieceKey(j.ref, number), p.version})
+		}
 	}
-	for _, m := range ms {
-		m.Leaving = true
+	delete(c.jobs, j.ref)
+	c.closed[j.ref] = now
+	phase := wire.PhaseDone
+	if j.cancelled {
+		phase = wire.PhaseCancelled
 	}
-	c.Log.Info("returning machines", "why", why, "machines", names(ms))
-	c.toReturn = append(c.toReturn, ms...)
-	c.returnNext(now)
+	c.dropDependent(j)
+	c.settle(j.ref, outcome{phase, time.UnixMilli(atMS)}, now)
 }
 
-func names(ms []*fleet.Machine) []string {
-	ids := make([]string, len(ms))
-	for i, m := range ms {
-		ids[i] = m.ID
+func (c *Controller) onCommitFailed(m commitMsg, now time.Time) {
+	for _, w := range m.b.runs {
+		p := w.job.piece(w.number)
+		p.dirty, p.urgent = true, p.urgent || len(w.placed) > 0
 	}
-	return ids
-}
-
-// returnNext calls the cloud for what is to be given back. One call is under way
-// at a time, and what comes meanwhile goes into the next: hundreds of machines,
-// each returned and retried by itself, took the calls from the rentals. Those
-// with tasks go first, which start elsewhere only after the answer.
-func (c *Controller) returnNext(now time.Time) {
-	if len(c.returning) > 0 || len(c.toReturn) == 0 || now.Before(c.returnAfter) {
-		return
+	for _, j := range m.b.closed {
+		for number := range j.pieces {
+			j.pieces[number].removed = false
+		}
 	}
-	slices.SortStableFunc(c.toReturn, func(a, b *fleet.Machine) int {
-		return cmp.Compare(min(1, len(b.Live)), min(1, len(a.Live)))
-	})
-	n := min(len(c.toReturn), tuning.ReturnMax)
-	c.returning, c.toReturn = c.toReturn[:n:n], slices.Clone(c.toReturn[n:])
-	ids := names(c.returning)
-	go func() { c.send(returnMsg{c.Cloud.Return(c.ctx, ids)}) }()
-}
-
-func (c *Controller) onReturn(r returnMsg, now time.Time) {
-	ms := c.returning
-	c.returning = nil
-	defer c.returnNext(now)
-	if r.err != nil {
-		// It may have been carried out; names that are gone are ignored.
-		c.Log.Info("returning machines failed", "machines", len(ms), "err", r.err)
-		c.toReturn = append(c.toReturn, ms...)
-		c.returnAfter = now.Add(tuning.MachineBackoff)
+	conflict := errors.Is(m.err, statestore.ErrConflict)
+	switch {
+	case conflict && slices.Contains(m.failed, ledger.KeyTerm):
+		c.Log.Info("the term was taken by another node")
+		c.OnTerm(c.term.N + 1)
 		return
+	case conflict:
+		c.Log.Debug("commit refused", "failed", m.failed)
+	case errors.Is(m.err, statestore.ErrRefused):
+		c.commitAfter = now.Add(tuning.ElectionRetry)
+		return
+	default:
+		// The limits have become smaller; the next commit keeps to them.
+		c.Log.Error("commit failed", "err", m.err)
 	}
-	for _, m := range ms {
-		var ended []fleet.Ended
-		for _, p := range m.Live {
-			ended = append(ended, fleet.Ended{Placement: p})
-		}
-		c.end(ended, now)
-		c.forget(m)
-		c.gone[m.ID] = now
+	if c.failingSince.IsZero() {
+		c.failingSince = now
 	}
-}
-
-func (c *Controller) onList(l listMsg, now time.Time) {
-	c.listing = false
-	c.cloudOK = l.err == nil
-	if l.err != nil {
-		c.Log.Debug("machine list", "err", l.err)
+	if now.Sub(c.failingSince) > tuning.ConflictGiveUp {
+		// The records are not what we take them for, and nothing would
+		// be written ever again: a new term reads them anew.
+		c.Log.Error("records have changed behind this leader", "keys", m.failed, "err", m.err)
+		c.OnTerm(c.term.N + 1)
 		return
 	}
-	c.changed = c.changed || !c.listed
-	c.listed = true
-	var failed []*fleet.Machine
-	seen := map[string]bool{}
-	for _, lm := range l.machines {
-		seen[lm.ID] = true
-		if _, ok := c.gone[lm.ID]; ok {
-			continue
-		}
-		m := c.machines[lm.ID]
-		if m == nil {
-			m = c.machine(lm.ID, now)
-			m.Rented = now.Add(-seconds(lm.AgeS))
-			m.Type, m.Zone, m.Spot = lm.Type, lm.Zone, lm.Spot
-		}
-		if m.Type == "" {
-			m.Type, m.Zone, m.Spot, m.Rented = lm.Type, lm.Zone, lm.Spot, now.Add(-seconds(lm.AgeS))
-		}
-		if !m.Up && m.Addr == "" && lm.Addr != "" && lm.State != wire.MachineStarting {
-			m.Addr = lm.Addr
-		}
-		if lm.State == wire.MachineFailed && !m.Leaving {
-			failed = append(failed, m)
-		}
-	}
-	c.giveBack(failed, "failed", now)
-	c.planGreets(now)
-	for _, cl := range c.claims {
-		if !cl.settled || cl.drop {
+	c.takeBackStarts(m, now)
+	c.commitAfter = now.Add(tuning.PassGap)
+}
+
+// takeBackStarts drops the new starts of jobs whose open record has changed: the
+// job was cancelled meanwhile, and the event is on the way. The rest is written
+// next time.
+func (c *Controller) takeBackStarts(m commitMsg, now time.Time) {
+	for _, w := range m.b.runs {
+		if !slices.Contains(m.failed, ledger.OpenKey(w.job.ref)) {
 			continue
 		}
-		// The list has taken over: a new leader will find these there.
-		all := true
-		for _, id := range cl.hosts {
-			_, gone := c.gone[id]
-			m := c.machines[id]
-			all = all && (seen[id] || gone || (m != nil && m.Up))
+		for _, p := range w.placed {
+			if w.job.live[p.Task] == p {
+				c.unplace(p, now)
+			}
 		}
-		cl.drop = all
-	}
-}
-
-// listPause is the pause to the next list, of which each page is a call: at most
-// a part of the calls that may be made goes into lists.
-func (c *Controller) listPause() time.Duration {
-	pages := float64(len(c.machines)/tuning.ListMax + 1)
-	calls := c.Config.Deployment.Cloud.RPS * c.Config.Operator.CallBudget
-	return max(tuning.CloudTick, seconds(pages/(calls*tuning.ListShare)))
-}
-
-func (c *Controller) onCatalog(m catalogMsg, _ time.Time) {
-	if m.types != nil {
-		c.setTypes(m.types)
-		c.loadedTypes = true
-	}
-}
-
-func (c *Controller) setTypes(types []wire.MachineType) {
-	c.types, c.changed = types, true
-	c.typeIdx = make(map[string]int, len(types))
-	for i, t := range types {
-		c.typeIdx[t.Name] = i
-	}
-}
-
-// saveCatalog keeps the catalog for nodes that cannot reach the cloud. Losing
-// this write does no harm, so it is not part of the batches.
-func (c *Controller) saveCatalog(ctx context.Context, types []wire.MachineType) {
-	_, err := c.Store.Commit(ctx, wire.Commit{
-		Guards:  []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}},
-		Changes: []wire.Change{{Set: ledger.KeyCatalog, Value: types}},
-	})
-	if err != nil {
-		c.Log.Debug("saving the catalog", "err", err)
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,7 +71,15 @@
 		events []wire.Event
 		asOf   time.Time // every cancellation told before it is in here
 	}
-	termMsg struct{ asOf time.Time }
+	termMsg   struct{ asOf time.Time }
+	lookupMsg struct {
+		outcomes map[string]outcome
+		open     []wire.Item
+	}
+	versionsMsg struct {
+		formats   map[string]int // by controller
+		committed bool           // the whole cluster uses ledger.FormatOwn
+	}
 	listMsg struct {
 		machines []wire.ListedMachine
 		err      error
@@ -126,8 +134,18 @@
 	commitAfter time.Time
 	hints       map[string]*ledger.Hint // of an earlier leader, by machine
 	hintAt      time.Time
-	hintPart    int
-	conflictAt  time.Time // since when every commit has been refused; zero: the last was not
+	hintPart    int // the next hint's number
+	hintFrom    int // the first machine, of the sorted ones, that it describes
+	// failingSince is since when every commit has failed; zero: the last did not.
+	failingSince time.Time
+	leftovers    []leftover // pieces of closed jobs that are to be removed
+	format       int        // the version of the formats that the whole cluster uses
+	formats      map[string]int
+
+	dependents  map[string][]string // jobs that wait for the one named
+	outcomes    map[string]outcome  // final phases of jobs, as far as they were needed
+	lookingUp   bool
+	lookupAt    time.Time
 	writes      *rate.Limiter
 	listed      bool
 	listing     bool
@@ -150,7 +168,6 @@
 	status      Status
 	cardRank    int // see sched.Snapshot
 	cardNeed    sched.Res
-	maxLive     int
 }
 
 type offer struct {
@@ -165,9 +182,9 @@
 
 // New makes the leader of a term.
 func New(d Deps, term election.Held) *Controller {
-	st := d.Config.Deployment.State
+	limits := d.Config.Deployment.State.Smaller()
 	floor := term.N << tuning.TermShift
-	wr := st.WriteRPS * tuning.LeaderWriteShare
+	wr := limits.WriteRPS * tuning.LeaderWriteShare
 	return &Controller{
 		Deps: d, term: term,
 		// A report that waits holds a connection, so that none is refused here:
@@ -176,8 +193,9 @@
 		jobs:  map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, closed: map[string]time.Time{}, hints: map[string]*ledger.Hint{}, touched: map[*fleet.Machine]bool{},
 		floor: floor, cardRank: -1, claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
 		est:     estimator{off: d.Config.Operator.Estimator == "user", classes: map[string]*classRuns{}},
-		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), st.TxnOps)),
-		maxLive: max(1, int(st.ValueKB*1024/2)/tuning.RecordEntryBytes),
+		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), limits.TxnOps)),
+		format:  ledger.FormatWhole,
+		formats: map[string]int{}, dependents: map[string][]string{}, outcomes: map[string]outcome{},
 	}
 }
 
@@ -236,6 +254,7 @@
 	c.Log.Info("records read", "term", c.term.N, "jobs", len(c.jobs), "machines", len(c.machines), "claims", len(c.claims))
 	go c.follow(ctx, rev)
 	go c.confirmTerm(ctx)
+	go c.watchVersions(ctx)
 	tick := time.NewTicker(tuning.TickEvery)
 	defer tick.Stop()
 	c.onTick(time.Now())
@@ -293,6 +312,10 @@
 		c.onEvents(m, now)
 	case termMsg:
 		c.asOfTerm = m.asOf
+	case lookupMsg:
+		c.onLookup(m, now)
+	case versionsMsg:
+		c.onVersions(m)
 	case listMsg:
 		c.onList(m, now)
 	case catalogMsg:
@@ -313,117 +336,6 @@
 	}
 }
 
-// load reads the records that an earlier leader left.
-func (c *Controller) load(ctx context.Context) (uint64, bool) {
-	for ctx.Err() == nil {
-		start := time.Now()
-		open, err := c.Store.ListAll(ctx, ledger.PrefixOpen)
-		var claims wire.Items
-		if err == nil {
-			claims, err = c.Store.ListAll(ctx, ledger.PrefixRent)
-		}
-		var cat wire.Item
-		if err == nil {
-			if cat, err = c.Store.Get(ctx, ledger.KeyCatalog); errors.Is(err, statestore.ErrNotFound) {
-				err = nil
-			}
-		}
-		if err != nil {
-			c.Log.Debug("reading records", "err", err)
-			pause.For(ctx, tuning.ElectionRetry)
-			continue
-		}
-		now := time.Now()
-		for _, it := range open.Items {
-			c.setOpen(it.Key, it.Value, it.Version, now)
-		}
-		// A job may have been cancelled while nobody led: no event will tell.
-		for _, j := range c.jobs {
-			if j.cancelled {
-				c.cancelJob(j, now)
-			}
-		}
-		for _, it := range claims.Items {
-			var cl ledger.Claim
-			if err := wire.Unmarshal(it.Value, &cl); err == nil {
-				c.claims[cl.Claim] = &claim{Claim: cl, recorded: true}
-			}
-		}
-		if cat.Value != nil {
-			var types []wire.MachineType
-			if wire.Unmarshal(cat.Value, &types) == nil {
-				c.setTypes(types)
-				c.loadedTypes = true
-			}
-		}
-		c.loadHints(ctx)
-		c.asOfFollow, c.asOfTerm = start, start
-		return open.Revision, true
-	}
-	return 0, false
-}
-
-// setOpen takes in an open job's record, or, while loading, its run record.
-func (c *Controller) setOpen(key string, value []byte, ver uint64, now time.Time) {
-	ref, run := ledger.SplitOpen(key)
-	if run {
-		j := c.jobs[ref]
-		if j == nil {
-			return // its open record cannot be read: users are told it is queued
-		}
-		var r ledger.Run
-		if err := wire.Unmarshal(value, &r); err != nil {
-			// Anything of it may run anywhere. It rests until that is surely
-			// over, as on machines never heard from, and then begins again:
-			// workers kept the results of what was done.
-			c.Log.Error("unreadable run record", "job", ref, "err", err)
-			j.unread, j.runVer = true, ver
-			j.next = c.term.N<<tuning.TermShift + 1 // no earlier attempt has this number
-			j.restUntil = c.leaseFrom(c.takeover.Add(c.leaderLease()))
-			return
-		}
-		j.restore(&r, ver)
-		for _, lp := range r.Live {
-			m := c.machine(lp.Machine, now)
-			if m.Zone == "" {
-				m.Zone = lp.Zone
-			}
-			p := &fleet.Placement{Key: fleet.Key{Job: ref, Task: lp.Task}, Attempt: lp.Attempt, Session: lp.Session,
-				Machine: m, Recorded: true, Sent: true, StartToken: c.token() - 1, Since: now}
-			j.live[lp.Task], m.Live[p.Key] = p, p
-		}
-		return
-	}
-	var o ledger.OpenJob
-	if err := wire.Unmarshal(value, &o); err != nil {
-		c.Log.Error("unreadable job record", "job", ref, "err", err)
-		if j := c.jobs[ref]; j != nil && !j.cancelled && ledger.SaysCancelled(value) {
-			c.cancelJob(j, now) // its user is told so
-		}
-		return
-	}
-	if j := c.jobs[ref]; j != nil {
-		if ver > j.openVer {
-			j.openVer, j.recordBehind = ver, false
-			if o.Cancelled && !j.cancelled {
-				c.cancelJob(j, now)
-			}
-		}
-		return
-	}
-	if _, over := c.closed[ref]; over {
-		return // read before it was closed
-	}
-	j := newJob(ref, &o, ver, now)
-	c.jobs[ref] = j
-	c.changed = true
-	c.Log.Debug("job known", "job", ref, "class", o.Job.Class, "tasks", o.Job.Tasks, "age", now.Sub(j.at))
-	if n := j.need(); n.Cards > 0 {
-		c.cardRank = max(c.cardRank, j.rank())
-		c.cardNeed = sched.Res{Cores: max(c.cardNeed.Cores, n.Cores), Cards: max(c.cardNeed.Cards, n.Cards), Mem: max(c.cardNeed.Mem, n.Mem)}
-	}
-}
-
 // follow learns of new jobs and cancellations. Each return also proves that all
 // told before the call began are known here.
 func (c *Controller) follow(ctx context.Context, rev uint64) {
@@ -665,12 +577,12 @@
 			j.nDone++
 			j.pendingDone[p.Task] = true
 			j.errors = 0
-			c.markDirty(j, false, now)
+			c.markDirty(j, p.Task, false, now)
 		} else {
 			j.giveBack(p.Task)
 			if p.Recorded {
 				// The next leader would leave it its time to end all over again.
-				c.markDirty(j, false, now)
+				c.markDirty(j, p.Task, false, now)
 			}
 			if e.Cause != wire.CauseStopped && !j.cancelled {
 				c.Log.Info("task ended", "task", taskName(p.Key), "try", p.Attempt, "machine", p.Machine.ID, "cause", e.Cause)
@@ -718,18 +630,11 @@
 		delete(j.live, p.Task)
 		j.giveBack(p.Task)
 		if p.Recorded {
-			c.markDirty(j, false, now)
+			c.markDirty(j, p.Task, false, now)
 		}
 	}
 }
 
-func (c *Controller) markDirty(j *job, urgent bool, now time.Time) {
-	if !j.dirty {
-		j.dirty, j.dirtyAt = true, now
-	}
-	j.urgent = j.urgent || urgent
-}
-
 func (c *Controller) cancelJob(j *job, now time.Time) {
 	c.Log.Info("job cancelled", "job", j.ref, "live", len(j.live))
 	j.cancelled = true
@@ -737,12 +642,13 @@
 	for _, p := range j.live {
 		c.stop(p, 0, now)
 	}
+	c.cancelDependents(j.ref, now)
 }
 
 func (c *Controller) onEvents(m eventsMsg, now time.Time) {
 	for _, e := range m.events {
 		if e.Set != "" {
-			if _, run := ledger.SplitOpen(e.Set); !run {
+			if _, piece := ledger.SplitOpen(e.Set); piece == ledger.NoPiece {
 				c.setOpen(e.Set, e.Value, e.Version, now)
 			}
 		}
--- a/internal/controller/hints.go
+++ b/internal/controller/hints.go
@@ -20,10 +20,13 @@
 		return
 	}
 	c.hintAt = now.Add(tuning.HintEvery)
-	parts := (len(c.sorted) + tuning.HintMachines - 1) / tuning.HintMachines
-	c.hintPart = (c.hintPart + 1) % parts
-	h := makeHint(c.sorted[c.hintPart*tuning.HintMachines : min(len(c.sorted), (c.hintPart+1)*tuning.HintMachines)])
+	if c.hintFrom >= len(c.sorted) {
+		c.hintFrom, c.hintPart = 0, 0
+	}
+	h, n := makeHint(c.sorted[c.hintFrom:], c.Config.Deployment.State.Smaller().ValueBytes())
 	key := fmt.Sprint(ledger.PrefixHint, c.hintPart)
+	c.hintFrom += n
+	c.hintPart++
 	go func() {
 		_, err := c.Store.Commit(c.ctx, wire.Commit{
 			Guards:  []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}},
@@ -35,21 +38,38 @@
 	}()
 }
 
-func makeHint(ms []*fleet.Machine) ledger.Hint {
-	h := ledger.Hint{Machines: map[string][]int{}}
-	for _, m := range ms {
-		m.EachImage(func(name string, gb float64) {
-			i := slices.Index(h.Images, name)
-			if i < 0 {
-				i = len(h.Images)
-				h.Images, h.GB = append(h.Images, name), append(h.GB, gb)
-			}
-			if l := h.Machines[m.ID]; len(l) < tuning.HintImages {
-				h.Machines[m.ID] = append(l, i)
+// makeHint describes the images on the first of the machines, as many as surely fit
+// in a value of so many bytes as JSON, and returns how many these are.
+func makeHint(ms []*fleet.Machine, bytes int) (h ledger.Hint, n int) {
+	h.Machines = map[string][]int{}
+	size := tuning.HintBytes
+	for n = 0; n < min(len(ms), tuning.HintMachines); n++ {
+		size += tuning.HintBytes + len(ms[n].ID)
+		ms[n].EachImage(func(name string, _ float64) {
+			size += tuning.HintIndexBytes
+			if !slices.Contains(h.Images, name) {
+				size += tuning.HintBytes + len(name)
 			}
 		})
+		if size > bytes && n > 0 {
+			break
+		}
+		addImages(&h, ms[n])
 	}
-	return h
+	return h, n
+}
+
+func addImages(h *ledger.Hint, m *fleet.Machine) {
+	m.EachImage(func(name string, gb float64) {
+		i := slices.Index(h.Images, name)
+		if i < 0 {
+			i = len(h.Images)
+			h.Images, h.GB = append(h.Images, name), append(h.GB, gb)
+		}
+		if l := h.Machines[m.ID]; len(l) < tuning.HintImages {
+			h.Machines[m.ID] = append(l, i)
+		}
+	})
 }
 
 // loadHints reads what an earlier leader knew; without it all goes on.
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -19,7 +19,10 @@
 	at        time.Time // time of day of acceptance
 	cancelled bool
 	openVer   uint64
-	runVer    uint64 // 0: no run record yet
+	pieces    []piece // of its run record, by number; see piece
+
+	waitsFor map[string]bool // dependencies that are not known to be done
+	readyAt  time.Time       // when the last dependency was done; without any, at
 
 	next    uint64 // the next unused attempt
 	done    ledger.Ranges
@@ -28,9 +31,6 @@
 	cursor  int   // tasks from here on were never started
 	requeue []int // tasks before the cursor that wait, sorted
 
-	dirty       bool         // the record lags behind what must be in it
-	urgent      bool         // it holds starts
-	dirtyAt     time.Time    // since when
 	pendingDone map[int]bool // done, not yet recorded: not to be reaped
 	// recordBehind: a controller says that it is cancelled, but the record with that
 	// has not been read yet, so nothing can be written on its version.
@@ -42,22 +42,21 @@
 }
 
 func newJob(ref string, o *ledger.OpenJob, ver uint64, now time.Time) *job {
-	return &job{ref: ref, desc: o.Job, at: time.UnixMilli(o.AtMS), cancelled: o.Cancelled, openVer: ver,
+	at := time.UnixMilli(o.AtMS)
+	return &job{ref: ref, desc: o.Job, at: at, readyAt: at, cancelled: o.Cancelled, openVer: ver,
 		next: 1, live: map[int]*fleet.Placement{}, pendingDone: map[int]bool{}, seenAt: now}
 }
 
 // restore takes in the run record of an earlier leader.
-func (j *job) restore(r *ledger.Run, ver uint64) {
-	j.runVer, j.next, j.done = ver, max(1, r.Next), r.Done
+func (j *job) restore(r *ledger.Run) {
+	j.next, j.done = max(1, r.Next), r.Done
 	j.nDone = j.done.Count()
 	for _, e := range j.done {
 		j.cursor = max(j.cursor, e[1]+1)
 	}
-	for _, p := range r.Live {
-		j.cursor = max(j.cursor, p.Task+1)
-	}
 	held := map[int]bool{}
 	for _, p := range r.Live {
+		j.cursor = max(j.cursor, p.Task+1)
 		held[p.Task] = true
 	}
 	for i := range j.cursor {
@@ -72,7 +71,7 @@
 // waiting is how many tasks may be started now. A gang starts whole: none while
 // anything of an earlier attempt may still be on a machine.
 func (j *job) waiting() int {
-	if j.cancelled || (j.gang() && len(j.live) > 0) {
+	if j.cancelled || len(j.waitsFor) > 0 || (j.gang() && len(j.live) > 0) {
 		return 0
 	}
 	return j.desc.Tasks - j.nDone - len(j.live)
@@ -87,20 +86,23 @@
 	return len(j.live) >= j.desc.Tasks
 }
 
-// writeLater is the order of records that hold completions only.
-const writeLater = 10
+// The order in which records are written, the lowest first: production's starts,
+// what ends a job and other starts by their rank, and last what holds completions
+// only.
+const (
+	writeProduction = 0
+	writeClose      = 1
+	writeLater      = 10
+)
 
-// writeOrder is the order in which records are written, the lowest first.
-func (j *job) writeOrder() int {
+func (j *job) writeOrder(p *piece) int {
 	switch {
-	case j.over():
-		return 1
-	case !j.urgent:
+	case !p.urgent:
 		return writeLater
 	case j.rank() == 0:
-		return 0
+		return writeProduction
 	}
-	return 1 + j.rank()
+	return writeClose + j.rank()
 }
 
 func (j *job) over() bool { return len(j.live) == 0 && (j.cancelled || j.nDone >= j.desc.Tasks) }
@@ -121,23 +123,6 @@
 	}
 }
 
-// record is the run record of the present state.
-func (j *job) record() ledger.Run {
-	r := ledger.Run{Next: j.next, Done: slices.Clone(j.done), Live: make([]ledger.Placement, 0, len(j.live))}
-	if r.Done == nil {
-		r.Done = ledger.Ranges{}
-	}
-	for n, p := range j.live {
-		lp := ledger.Placement{Task: n, Attempt: p.Attempt, Machine: p.Machine.ID, Session: p.Session}
-		if j.desc.Spread || j.desc.OneZone {
-			lp.Zone = p.Machine.Zone
-		}
-		r.Live = append(r.Live, lp)
-	}
-	slices.SortFunc(r.Live, func(a, b ledger.Placement) int { return a.Task - b.Task })
-	return r
-}
-
 func (j *job) need() sched.Res { return sched.Need(&j.desc) }
 
 func (j *job) rank() int {
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -22,7 +22,7 @@
 	now := time.Now()
 	o := &ledger.OpenJob{Job: wire.Job{ID: "req-1", Shape: wire.Array, Tasks: 10}}
 	j := newJob("req-1", o, 1, now)
-	j.restore(&ledger.Run{Next: 9, Done: ledger.Ranges{{0, 1}, {4, 4}}, Live: []ledger.Placement{{Task: 6, Attempt: 8}}}, 2)
+	j.restore(&ledger.Run{Next: 9, Done: ledger.Ranges{{0, 1}, {4, 4}}, Live: []ledger.Placement{{Task: 6, Attempt: 8}}})
 	j.live[6] = &fleet.Placement{Key: fleet.Key{Job: "req-1", Task: 6}, Machine: &fleet.Machine{ID: "m"}}
 	var got []int
 	for j.waiting() > 0 {
@@ -33,7 +33,7 @@
 	if d := cmp.Diff([]int{2, 3, 5, 7, 8, 9}, got); d != "" {
 		t.Error(d)
 	}
-	if r := j.record(); len(r.Live) != 7 || r.Next != 9 || r.Done.Count() != 3 {
+	if r := j.record(0); len(r.Live) != 7 || r.Next != 9 || r.Done.Count() != 3 {
 		t.Errorf("recorded as %+v", r)
 	}
 }
@@ -103,7 +103,8 @@
 	for _, name := range []string{"a", "b", "c"} {
 		m.TouchImage(name, 10, 40)
 	}
-	raw, _ := wire.Marshal(makeHint(c.sorted))
+	hint, _ := makeHint(c.sorted, 32<<10)
+	raw, _ := wire.Marshal(hint)
 	next, _ := large(0, 1)
 	var h ledger.Hint
 	if err := wire.Unmarshal(raw, &h); err != nil {
@@ -122,7 +123,7 @@
 func TestNamedBeforeItsRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, now := large(8, 2)
-		c.Store = statestore.New("state:1", &calls{}, wire.NewComplaints(c.Log))
+		c.Store = statestore.New("state:1", &calls{}, wire.NewComplaints(c.Log), c.Config.Deployment.State)
 		ctx, cancel := context.WithCancel(t.Context())
 		c.Bind(ctx)
 		defer synctest.Wait()
@@ -148,7 +149,7 @@
 		b, _ := wire.Marshal(o)
 		c.setOpen(ledger.OpenKey(named.ref), b, named.openVer+1, late)
 		c.commit(late)
-		if c.inCommit == nil || !slices.Contains(c.inCommit.over, named) {
+		if c.inCommit == nil || !slices.Contains(c.inCommit.closed, named) {
 			t.Error("a job whose record was read is not closed")
 		}
 	})
--- /dev/null
+++ b/internal/controller/load.go
@@ -0,0 +1,206 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
+	"marblehaven/internal/sched"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// records is what an earlier leader left.
+type records struct {
+	open, claims     wire.Items
+	catalog, cluster wire.Item
+}
+
+func (c *Controller) readRecords(ctx context.Context) (r records, err error) {
+	if r.open, err = c.Store.ListAll(ctx, ledger.PrefixOpen); err != nil {
+		return r, err
+	}
+	if r.claims, err = c.Store.ListAll(ctx, ledger.PrefixRent); err != nil {
+		return r, err
+	}
+	if r.catalog, err = c.Store.Get(ctx, ledger.KeyCatalog); err != nil && !errors.Is(err, statestore.ErrNotFound) {
+		return r, err
+	}
+	if r.cluster, err = c.Store.Get(ctx, ledger.KeyCluster); err != nil && !errors.Is(err, statestore.ErrNotFound) {
+		return r, err
+	}
+	return r, nil
+}
+
+// load reads the records that an earlier leader left.
+func (c *Controller) load(ctx context.Context) (uint64, bool) {
+	for ctx.Err() == nil {
+		start := time.Now()
+		r, err := c.readRecords(ctx)
+		if err != nil {
+			c.Log.Debug("reading records", "err", err)
+			pause.For(ctx, tuning.ElectionRetry)
+			continue
+		}
+		c.restore(&r, time.Now())
+		c.loadHints(ctx)
+		c.asOfFollow, c.asOfTerm = start, start
+		return r.open.Revision, true
+	}
+	return 0, false
+}
+
+func (c *Controller) restore(r *records, now time.Time) {
+	if r.cluster.Version > 0 {
+		// Whatever it says, it was written when all controllers read pieces.
+		c.useFormat(ledger.FormatPieces)
+	}
+	c.restoreJobs(r.open.Items, now)
+	for _, it := range r.claims.Items {
+		var cl ledger.Claim
+		if err := wire.Unmarshal(it.Value, &cl); err == nil {
+			c.claims[cl.Claim] = &claim{Claim: cl, recorded: true}
+		}
+	}
+	if r.catalog.Value == nil {
+		return
+	}
+	var types []wire.MachineType
+	if wire.Unmarshal(r.catalog.Value, &types) == nil {
+		c.setTypes(types)
+		c.loadedTypes = true
+	}
+}
+
+// restoreJobs takes in the open jobs with the pieces of their run records.
+func (c *Controller) restoreJobs(items []wire.Item, now time.Time) {
+	open := map[string]bool{}
+	pieces := map[string][]wire.Item{}
+	for _, it := range items {
+		ref, number := ledger.SplitOpen(it.Key)
+		if number == ledger.NoPiece {
+			open[ref] = true
+			c.setOpen(it.Key, it.Value, it.Version, now)
+			continue
+		}
+		pieces[ref] = append(pieces[ref], it)
+	}
+	for ref, of := range pieces {
+		switch j := c.jobs[ref]; {
+		case j != nil:
+			c.restoreRun(j, of, now)
+		case !open[ref]:
+			// The job was closed by a leader that came to no end with it.
+			for _, it := range of {
+				c.leftovers = append(c.leftovers, leftover{it.Key, it.Version})
+			}
+		}
+		// Otherwise its open record cannot be read: users are told it is queued.
+	}
+	// A job may have been cancelled while nobody led: no event will tell.
+	for _, j := range c.jobs {
+		if j.cancelled {
+			c.cancelJob(j, now)
+		}
+	}
+}
+
+// restoreRun takes in the pieces of a job's run record.
+func (c *Controller) restoreRun(j *job, items []wire.Item, now time.Time) {
+	runs := map[int]ledger.Run{}
+	for _, it := range items {
+		_, number := ledger.SplitOpen(it.Key)
+		if number < 0 || number >= max(1, ledger.Pieces(j.desc.Tasks)) {
+			c.Log.Error("run record of no task", "key", it.Key)
+			c.leftovers = append(c.leftovers, leftover{it.Key, it.Version})
+			continue
+		}
+		j.piece(number).version = it.Version
+		var r ledger.Run
+		if err := wire.Unmarshal(it.Value, &r); err != nil {
+			c.Log.Error("unreadable run record", "job", j.ref, "piece", number, "err", err)
+			j.unread = true
+			continue
+		}
+		runs[number] = r
+	}
+	whole := ledger.Assemble(runs)
+	j.restore(&whole)
+	if j.unread {
+		// Anything of it may run anywhere. It rests until that is surely
+		// over, as on machines never heard from, and then goes on with what it
+		// has no record of: workers kept the results of what was done.
+		j.next = max(j.next, c.term.N<<tuning.TermShift+1) // no earlier attempt has this number
+		j.restUntil = c.leaseFrom(c.takeover.Add(c.leaderLease()))
+	}
+	for _, lp := range whole.Live {
+		c.restorePlacement(j, lp, now)
+	}
+}
+
+func (c *Controller) restorePlacement(j *job, lp ledger.Placement, now time.Time) {
+	m := c.machine(lp.Machine, now)
+	if m.Zone == "" {
+		m.Zone = lp.Zone
+	}
+	p := &fleet.Placement{Key: fleet.Key{Job: j.ref, Task: lp.Task}, Attempt: lp.Attempt, Session: lp.Session,
+		Machine: m, Recorded: true, Sent: true, StartToken: c.token() - 1, Since: now}
+	j.live[lp.Task], m.Live[p.Key] = p, p
+}
+
+// setOpen takes in an open job's record.
+func (c *Controller) setOpen(key string, value []byte, ver uint64, now time.Time) {
+	ref, _ := ledger.SplitOpen(key)
+	j := c.jobs[ref]
+	var o ledger.OpenJob
+	if err := wire.Unmarshal(value, &o); err != nil {
+		c.Log.Error("unreadable job record", "job", ref, "err", err)
+		c.onUnreadable(ref, value, now)
+		return
+	}
+	if j != nil {
+		c.onRewritten(j, &o, ver, now)
+		return
+	}
+	if _, over := c.closed[ref]; over {
+		return // read before it was closed
+	}
+	c.addJob(ref, &o, ver, now)
+}
+
+// onUnreadable draws from an open record that cannot be read what can be told.
+func (c *Controller) onUnreadable(ref string, value []byte, now time.Time) {
+	if !ledger.SaysCancelled(value) {
+		return
+	}
+	if j := c.jobs[ref]; j != nil && !j.cancelled {
+		c.cancelJob(j, now) // its user is told so
+	}
+	c.cancelDependents(ref, now)
+}
+
+func (c *Controller) onRewritten(j *job, o *ledger.OpenJob, ver uint64, now time.Time) {
+	if ver <= j.openVer {
+		return
+	}
+	j.openVer, j.recordBehind = ver, false
+	if o.Cancelled && !j.cancelled {
+		c.cancelJob(j, now)
+	}
+}
+
+func (c *Controller) addJob(ref string, o *ledger.OpenJob, ver uint64, now time.Time) {
+	j := newJob(ref, o, ver, now)
+	c.jobs[ref] = j
+	c.changed = true
+	c.Log.Debug("job known", "job", ref, "class", o.Job.Class, "tasks", o.Job.Tasks, "age", now.Sub(j.at))
+	c.addDependencies(j, now)
+	if n := j.need(); n.Cards > 0 {
+		c.cardRank = max(c.cardRank, j.rank())
+		c.cardNeed = sched.Res{Cores: max(c.cardNeed.Cores, n.Cores), Cards: max(c.cardNeed.Cards, n.Cards), Mem: max(c.cardNeed.Mem, n.Mem)}
+	}
+}
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"marblehaven/internal/fleet"
@@ -94,6 +93,7 @@
 		}()
 	}
 	c.callClaims(now)
+	c.lookUp(now)
 	c.saveHint(now)
 }
 
@@ -274,11 +274,11 @@
 				j.next++
 			}
 			j.live[n], m.Live[p.Key] = p, p
+			c.markDirty(j, n, true, now)
 		}
 		if i, ok := c.typeIdx[m.Type]; ok {
 			m.TouchImage(j.desc.Image, j.desc.ImageGB, c.types[i].CacheGB)
 		}
-		c.markDirty(j, true, now)
 		c.Log.Debug("placing", "job", j.ref, "machine", m.ID, "count", st.Count)
 	}
 	for i, j := range jobs {
@@ -331,211 +331,3 @@
 		c.summarize(snap, jobs, plan, now)
 	}
 }
-
-// dueIn is the time until D_k and the latest moment for the first start, if an
-// objective sets one, in seconds, and whether it is an aim on the start, which
-// counts tasks.
-func (c *Controller) dueIn(j *job, est float64, guaranteed bool, now time.Time) (due float64, onStart bool) {
-	age := now.Sub(j.at).Seconds()
-	type aim struct {
-		s       float64
-		onStart bool
-	}
-	var dues []aim
-	if j.desc.DeadlineS > 0 {
-		dues = append(dues, aim{j.desc.DeadlineS, false})
-	}
-	for _, o := range c.Config.Deployment.Objectives {
-		if o.WithinS <= 0 || (o.Class != j.desc.Class && o.Kind != "guarantee") {
-			continue
-		}
-		switch {
-		case o.Kind == "finished":
-			dues = append(dues, aim{o.WithinS, false})
-		case o.Kind == "wait" && len(j.live) == 0, o.Kind == "guarantee" && guaranteed && len(j.live) == 0:
-			dues = append(dues, aim{o.WithinS + est, o.Kind == "wait"})
-		}
-	}
-	if len(dues) == 0 {
-		dues = append(dues, aim{c.Config.Operator.DeadlineFactor * est, false})
-	}
-	// The earliest that can still be kept; a job that has missed all of them
-	// is held to the last.
-	slices.SortStableFunc(dues, func(a, b aim) int { return cmp.Compare(a.s, b.s) })
-	for _, d := range dues {
-		if d.s-age >= est {
-			return d.s - age, d.onStart
-		}
-	}
-	last := dues[len(dues)-1]
-	return last.s - age, last.onStart
-}
-
-// mayWait is how long a job may wait for its first start, in seconds, before it
-// goes first: early enough that even the largest begins in time. Room for a gang
-// falls free in one zone, a machine after another, and other gangs gather too.
-func mayWait(j *job, est, slots float64, zones int) float64 {
-	gather := 0.0
-	if j.gang() && j.desc.Tasks > 1 && slots > 0 {
-		gather = tuning.GatherSlack * est * float64(j.desc.Tasks) * float64(zones) / slots
-	}
-	return max(tuning.OverdueLeast, tuning.MustBegin-tuning.OverdueMargin-gather)
-}
-
-func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
-	op := c.Config.Operator
-	s := &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor, OverdueShare: tuning.OverdueShare, OverdueShareIdle: tuning.OverdueShareIdle, Refused: map[sched.Offer]bool{}}
-	for _, t := range c.types {
-		s.Types = append(s.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
-			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
-	}
-	teamIdx := map[string]int{}
-	for i, t := range c.Config.Deployment.Teams {
-		teamIdx[t.Name] = i
-		s.Teams = append(s.Teams, sched.Team{Max: sched.Res{Cores: t.CoresMax, Cards: t.CardsMax}})
-	}
-	jobs := make([]*job, 0, len(c.jobs))
-	for _, j := range c.jobs {
-		if _, ok := teamIdx[j.desc.Team]; ok {
-			jobs = append(jobs, j)
-		}
-	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		if d := a.at.Compare(b.at); d != 0 {
-			return d
-		}
-		return strings.Compare(a.ref, b.ref)
-	})
-	demand := make([]sched.Res, len(s.Teams))
-	jobIdx := make(map[string]int, len(jobs))
-	s.Jobs = make([]sched.Job, 0, len(jobs))
-	for i, j := range jobs {
-		ti := teamIdx[j.desc.Team]
-		need := j.need()
-		left := j.desc.Tasks - j.nDone
-		guaranteed := false
-		if !j.cancelled {
-			demand[ti] = demand[ti].Sub(need, -left)
-			g := c.Config.Deployment.Teams[ti]
-			guaranteed = (need.Cores <= 0 || demand[ti].Cores <= g.Cores+1e-9) && (need.Cards <= 0 || demand[ti].Cards <= g.Cards+1e-9)
-		}
-		est := c.est.of(&j.desc)
-		sj := sched.Job{Ref: j.ref, Desc: &j.desc, Need: need, Rank: j.rank(), Guaranteed: guaranteed, EstimateS: est,
-			Waiting: j.waiting(), Live: len(j.live), Team: ti, Resting: now.Before(j.restUntil),
-			Counts: 1}
-		var onStart bool
-		if sj.DueS, onStart = c.dueIn(j, est, guaranteed, now); onStart {
-			sj.Counts = float64(j.desc.Tasks)
-		}
-		if room := c.maxLive - len(j.live); sj.Waiting > room {
-			// More would not fit into the run record, and a gang starts whole.
-			sj.Waiting = max(0, room)
-			if j.gang() {
-				sj.Waiting = 0
-			}
-		}
-		if sj.Waiting > 0 && (j.desc.Spread || j.desc.OneZone) {
-			sj.ZoneLive = map[string]int{}
-			for _, p := range j.live {
-				sj.ZoneLive[p.Machine.Zone]++
-			}
-		}
-		used := len(j.live)
-		if j.unread && now.Before(j.restUntil) {
-			used = left // any of them may run
-		}
-		s.Teams[ti].Used = s.Teams[ti].Used.Sub(need, -used)
-		jobIdx[j.ref] = i
-		s.Jobs = append(s.Jobs, sj)
-	}
-	silence := c.silence()
-	machines := make([]*fleet.Machine, 0, len(c.sorted))
-	s.Machines = make([]sched.Machine, 0, len(c.sorted))
-	arena := make([]sched.Running, 0, c.lastRunning+len(c.sorted))
-	unsettled := 0
-	// The machines that gangs gather on, with cards and without, and in how many
-	// zones they are.
-	slots, zones := map[bool]float64{}, 1
-	var fetching []string
-	for _, m := range c.sorted {
-		ti, ok := c.typeIdx[m.Type]
-		if !ok {
-			continue
-		}
-		sm := sched.Machine{ID: m.ID, Type: ti, Zone: m.Zone, Spot: m.Spot, Free: s.Types[ti].Total,
-			Ready: m.Usable(now, silence), Empty: len(m.Live) == 0 && len(m.Outbox) == 0, IdleS: now.Sub(m.IdleSince).Seconds(),
-			CardIdleS: now.Sub(m.CardsIdle).Seconds()}
-		sm.Coming = !m.Up && !m.Leaving && now.Sub(m.Rented) < seconds(tuning.BootSlow*s.Types[ti].BootS)
-		if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
-			unsettled++
-		}
-		if !m.Leaving {
-			slots[s.Types[ti].Total.Cards > 0]++
-			zones = max(zones, len(s.Types[ti].Zones))
-		}
-		first := len(arena)
-		fetching = fetching[:0]
-		for k, p := range m.Live {
-			ji, ok := jobIdx[k.Job]
-			if !ok {
-				sm.Ready = false
-				continue
-			}
-			sm.Free = sm.Free.Sub(s.Jobs[ji].Need, 1)
-			ri := slices.IndexFunc(arena[first:], func(r sched.Running) bool { return r.Job == ji })
-			if ri < 0 {
-				ri = len(arena) - first
-				arena = append(arena, sched.Running{Job: ji})
-			}
-			r := &arena[first+ri]
-			r.Count++
-			if d := s.Jobs[ji].Desc; (p.State == "" || p.State == wire.TaskFetching) && !slices.Contains(fetching, d.Image) {
-				fetching = append(fetching, d.Image)
-				sm.FetchGB += max(0, d.ImageGB-s.Types[ti].FetchGBps*now.Sub(p.Since).Seconds())
-			}
-			if p.Stopping {
-				r.Ending++
-			}
-			r.LeftS = max(r.LeftS, s.Jobs[ji].EstimateS)
-			if p.State == wire.TaskRunning {
-				r.LeftS = max(0, s.Jobs[ji].EstimateS-now.Sub(p.Since).Seconds())
-				lost := now.Sub(p.Since).Seconds()
-				if cp := s.Jobs[ji].Desc.CheckpointS; cp > 0 {
-					lost = min(lost, cp)
-				}
-				r.LostS += lost
-			}
-		}
-		sm.Tasks = arena[first:len(arena):len(arena)]
-		sm.Images = m.Images()
-		s.Machines = append(s.Machines, sm)
-		machines = append(machines, m)
-	}
-	c.lastRunning = len(arena)
-	for i, j := range jobs {
-		if sj := &s.Jobs[i]; !j.begun() {
-			age := now.Sub(j.at).Seconds()
-			sj.OverdueS, sj.TooLate = max(0, age-mayWait(j, sj.EstimateS, slots[sj.Need.Cards > 0], zones)), age > tuning.MustBegin
-		}
-	}
-	for _, cl := range c.claims {
-		// Asked for and not answered: this room counts as coming.
-		if ti, ok := c.typeIdx[cl.Type]; ok && !cl.settled {
-			for range cl.Count {
-				s.Machines = append(s.Machines, sched.Machine{Type: ti, Zone: cl.Zone, Spot: cl.Spot, Free: s.Types[ti].Total, Coming: true})
-				machines = append(machines, nil)
-			}
-		}
-	}
-	for o, r := range c.refused {
-		if ti, ok := c.typeIdx[o.typ]; ok && now.Before(r.until) {
-			s.Refused[sched.Offer{Type: ti, Zone: o.zone, Spot: o.spot}] = true
-		}
-	}
-	// After a takeover nothing is rented or given back before the list and the
-	// reports are in: what runs already would be rented for again.
-	settledIn := now.Sub(c.takeover) > 2*seconds(c.Config.Deployment.Workers.ReportS)
-	s.MayRent = c.listed && (settledIn || unsettled == 0)
-	s.MayReturn = c.listed && settledIn
-	return s, jobs, machines
-}
--- /dev/null
+++ b/internal/controller/snapshot.go
@@ -0,0 +1,339 @@
+package controller
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/sched"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// deadline is a time by which a job should be complete, counted from when it could
+// begin, and whether it stands for an aim on the start, which counts tasks.
+type deadline struct {
+	seconds float64
+	onStart bool
+}
+
+// dueIn is the time until D_k and the latest moment for the first start, if an
+// objective sets one, in seconds, and whether it is an aim on the start, which
+// counts tasks. inherited is the time until the jobs that need this one must have
+// it, in seconds.
+func (c *Controller) dueIn(j *job, est, inherited float64, guaranteed bool, now time.Time) (due float64, onStart bool) {
+	age := now.Sub(j.readyAt).Seconds()
+	dues := c.deadlines(j, est, guaranteed)
+	if !math.IsInf(inherited, 1) {
+		dues = append(dues, deadline{age + inherited, false})
+	}
+	if len(dues) == 0 {
+		dues = append(dues, deadline{c.Config.Operator.DeadlineFactor * est, false})
+	}
+	// The earliest that can still be kept; a job that has missed all of them
+	// is held to the last.
+	slices.SortStableFunc(dues, func(a, b deadline) int { return cmp.Compare(a.seconds, b.seconds) })
+	for _, d := range dues {
+		if d.seconds-age >= est {
+			return d.seconds - age, d.onStart
+		}
+	}
+	last := dues[len(dues)-1]
+	return last.seconds - age, last.onStart
+}
+
+// deadlines lists the job's own deadline and what the objectives ask for it.
+func (c *Controller) deadlines(j *job, est float64, guaranteed bool) []deadline {
+	var dues []deadline
+	if j.desc.DeadlineS > 0 {
+		// It counts from the submission, however long the job has waited for others.
+		dues = append(dues, deadline{j.desc.DeadlineS - j.readyAt.Sub(j.at).Seconds(), false})
+	}
+	for _, o := range c.Config.Deployment.Objectives {
+		if o.WithinS <= 0 || (o.Class != j.desc.Class && o.Kind != "guarantee") {
+			continue
+		}
+		switch {
+		case o.Kind == "finished":
+			dues = append(dues, deadline{o.WithinS, false})
+		case o.Kind == "wait" && len(j.live) == 0, o.Kind == "guarantee" && guaranteed && len(j.live) == 0:
+			dues = append(dues, deadline{o.WithinS + est, o.Kind == "wait"})
+		}
+	}
+	return dues
+}
+
+// mayWait is how long a job may wait for its first start, in seconds, before it
+// goes first: early enough that even the largest begins in time. Room for a gang
+// falls free in one zone, a machine after another, and other gangs gather too.
+func mayWait(j *job, est, slots float64, zones int) float64 {
+	gather := 0.0
+	if j.gang() && j.desc.Tasks > 1 && slots > 0 {
+		gather = tuning.GatherSlack * est * float64(j.desc.Tasks) * float64(zones) / slots
+	}
+	return max(tuning.OverdueLeast, tuning.MustBegin-tuning.OverdueMargin-gather)
+}
+
+// snapshotter builds the snapshot that decisions are made from.
+type snapshotter struct {
+	*Controller
+	now      time.Time
+	snap     *sched.Snapshot
+	jobs     []*job           // in the order of snap.Jobs
+	jobIndex map[string]int   // of snap.Jobs
+	teams    map[string]int   // index of snap.Teams
+	machines []*fleet.Machine // in the order of snap.Machines; nil: asked for
+	running  []sched.Running  // backs the machines' tasks
+	// slots are the machines that gangs gather on, with cards and without, and
+	// zones in how many zones they are.
+	slots map[bool]float64
+	zones int
+	// unsettled counts the machines that may not be used yet.
+	unsettled int
+}
+
+func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
+	b := &snapshotter{Controller: c, now: now, teams: map[string]int{}, jobIndex: map[string]int{}, slots: map[bool]float64{}, zones: 1}
+	op := c.Config.Operator
+	b.snap = &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor,
+		OverdueShare: tuning.OverdueShare, OverdueShareIdle: tuning.OverdueShareIdle, Refused: map[sched.Offer]bool{}}
+	b.addTypes()
+	b.addTeams()
+	b.addJobs()
+	b.addMachines()
+	b.markOverdue()
+	b.addClaims()
+	b.addRefused()
+	// After a takeover nothing is rented or given back before the list and the
+	// reports are in: what runs already would be rented for again.
+	settledIn := now.Sub(c.takeover) > 2*seconds(c.Config.Deployment.Workers.ReportS)
+	b.snap.MayRent = c.listed && (settledIn || b.unsettled == 0)
+	b.snap.MayReturn = c.listed && settledIn
+	return b.snap, b.jobs, b.machines
+}
+
+func (b *snapshotter) addTypes() {
+	for _, t := range b.types {
+		b.snap.Types = append(b.snap.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
+			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
+	}
+}
+
+func (b *snapshotter) addTeams() {
+	for i, t := range b.Config.Deployment.Teams {
+		b.teams[t.Name] = i
+		b.snap.Teams = append(b.snap.Teams, sched.Team{Max: sched.Res{Cores: t.CoresMax, Cards: t.CardsMax}})
+	}
+}
+
+// addJobs adds the jobs in the order of their acceptance.
+func (b *snapshotter) addJobs() {
+	for _, j := range b.Controller.jobs {
+		if _, ok := b.teams[j.desc.Team]; ok {
+			b.jobs = append(b.jobs, j)
+		}
+	}
+	slices.SortFunc(b.jobs, func(x, y *job) int {
+		return cmp.Or(x.at.Compare(y.at), strings.Compare(x.ref, y.ref))
+	})
+	for i, j := range b.jobs {
+		b.jobIndex[j.ref] = i
+	}
+	chained := b.chained()
+	demand := make([]sched.Res, len(b.snap.Teams))
+	b.snap.Jobs = make([]sched.Job, 0, len(b.jobs))
+	for i, j := range b.jobs {
+		b.addJob(j, &chained[i], demand)
+	}
+}
+
+// chained describes the jobs with those that they wait for, after priorities and
+// deadlines have been passed on along the chains.
+func (b *snapshotter) chained() []sched.Chained {
+	out := make([]sched.Chained, len(b.jobs))
+	any := false
+	for i, j := range b.jobs {
+		out[i] = sched.Chained{Rank: j.rank(), DueS: math.Inf(1), EstimateS: b.est.of(&j.desc)}
+		if j.desc.DeadlineS > 0 {
+			out[i].DueS = j.desc.DeadlineS - b.now.Sub(j.at).Seconds()
+		}
+		if j.cancelled {
+			continue
+		}
+		for ref := range j.waitsFor {
+			if need, ok := b.jobIndex[ref]; ok {
+				out[i].Needs = append(out[i].Needs, need)
+				any = true
+			}
+		}
+	}
+	if any {
+		sched.Inherit(out)
+	}
+	return out
+}
+
+// addJob adds a job; demand is what the jobs before it take of each team.
+func (b *snapshotter) addJob(j *job, chained *sched.Chained, demand []sched.Res) {
+	team := b.teams[j.desc.Team]
+	need := j.need()
+	left := j.desc.Tasks - j.nDone
+	guaranteed := false
+	// A job that waits for others holds no part of its team's guarantee.
+	if !j.cancelled && len(j.waitsFor) == 0 {
+		demand[team] = demand[team].Sub(need, -left)
+		guaranteed = withinGuarantee(need, demand[team], b.snapGuarantee(team))
+	}
+	sj := sched.Job{Ref: j.ref, Desc: &j.desc, Need: need, Rank: chained.Rank, Guaranteed: guaranteed, EstimateS: chained.EstimateS,
+		Waiting: j.waiting(), Live: len(j.live), Team: team, Resting: b.now.Before(j.restUntil), Counts: 1}
+	var onStart bool
+	if sj.DueS, onStart = b.dueIn(j, sj.EstimateS, chained.DueS, guaranteed, b.now); onStart {
+		sj.Counts = float64(j.desc.Tasks)
+	}
+	if room := b.liveMost() - len(j.live); sj.Waiting > room {
+		// More would not fit into the run record, and a gang starts whole.
+		sj.Waiting = max(0, room)
+		if j.gang() {
+			sj.Waiting = 0
+		}
+	}
+	if sj.Waiting > 0 && (j.desc.Spread || j.desc.OneZone) {
+		sj.ZoneLive = map[string]int{}
+		for _, p := range j.live {
+			sj.ZoneLive[p.Machine.Zone]++
+		}
+	}
+	used := len(j.live)
+	if j.unread && b.now.Before(j.restUntil) {
+		used = left // any of them may run
+	}
+	b.snap.Teams[team].Used = b.snap.Teams[team].Used.Sub(need, -used)
+	b.snap.Jobs = append(b.snap.Jobs, sj)
+}
+
+// snapGuarantee is what a team is guaranteed.
+func (b *snapshotter) snapGuarantee(team int) sched.Res {
+	t := b.Config.Deployment.Teams[team]
+	return sched.Res{Cores: t.Cores, Cards: t.Cards}
+}
+
+// withinGuarantee tells whether a demand is within a guarantee in what a task needs.
+func withinGuarantee(need, demand, guarantee sched.Res) bool {
+	const tolerance = 1e-9
+	return (need.Cores <= 0 || demand.Cores <= guarantee.Cores+tolerance) &&
+		(need.Cards <= 0 || demand.Cards <= guarantee.Cards+tolerance)
+}
+
+func (b *snapshotter) addMachines() {
+	b.machines = make([]*fleet.Machine, 0, len(b.sorted))
+	b.snap.Machines = make([]sched.Machine, 0, len(b.sorted))
+	b.running = make([]sched.Running, 0, b.lastRunning+len(b.sorted))
+	for _, m := range b.sorted {
+		if typ, ok := b.typeIdx[m.Type]; ok {
+			b.addMachine(m, typ)
+		}
+	}
+	b.lastRunning = len(b.running)
+}
+
+func (b *snapshotter) addMachine(m *fleet.Machine, typ int) {
+	t := &b.snap.Types[typ]
+	sm := sched.Machine{ID: m.ID, Type: typ, Zone: m.Zone, Spot: m.Spot, Free: t.Total,
+		Ready: m.Usable(b.now, b.silence()), Empty: len(m.Live) == 0 && len(m.Outbox) == 0, IdleS: b.now.Sub(m.IdleSince).Seconds(),
+		CardIdleS: b.now.Sub(m.CardsIdle).Seconds()}
+	sm.Coming = !m.Up && !m.Leaving && b.now.Sub(m.Rented) < seconds(tuning.BootSlow*t.BootS)
+	if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
+		b.unsettled++
+	}
+	if !m.Leaving {
+		b.slots[t.Total.Cards > 0]++
+		b.zones = max(b.zones, len(t.Zones))
+	}
+	b.addRunning(&sm, m, t)
+	sm.Images = m.Images()
+	b.snap.Machines = append(b.snap.Machines, sm)
+	b.machines = append(b.machines, m)
+}
+
+// addRunning takes what is on a machine off its room, and sums it up by jobs.
+func (b *snapshotter) addRunning(sm *sched.Machine, m *fleet.Machine, t *sched.Type) {
+	first := len(b.running)
+	var fetching []string
+	for k, p := range m.Live {
+		ji, ok := b.jobIndex[k.Job]
+		if !ok {
+			sm.Ready = false
+			continue
+		}
+		j := &b.snap.Jobs[ji]
+		sm.Free = sm.Free.Sub(j.Need, 1)
+		i := slices.IndexFunc(b.running[first:], func(r sched.Running) bool { return r.Job == ji })
+		if i < 0 {
+			i = len(b.running) - first
+			b.running = append(b.running, sched.Running{Job: ji})
+		}
+		b.addPlacement(&b.running[first+i], p, j)
+		if (p.State == "" || p.State == wire.TaskFetching) && !slices.Contains(fetching, j.Desc.Image) {
+			fetching = append(fetching, j.Desc.Image)
+			sm.FetchGB += max(0, j.Desc.ImageGB-t.FetchGBps*b.now.Sub(p.Since).Seconds())
+		}
+	}
+	sm.Tasks = b.running[first:len(b.running):len(b.running)]
+}
+
+func (b *snapshotter) addPlacement(r *sched.Running, p *fleet.Placement, j *sched.Job) {
+	r.Count++
+	if p.Stopping {
+		r.Ending++
+	}
+	r.LeftS = max(r.LeftS, j.EstimateS)
+	if p.State != wire.TaskRunning {
+		return
+	}
+	ran := b.now.Sub(p.Since).Seconds()
+	r.LeftS = max(0, j.EstimateS-ran)
+	lost := ran
+	if interval := j.Desc.CheckpointS; interval > 0 {
+		lost = min(lost, interval)
+	}
+	r.LostS += lost
+}
+
+// markOverdue marks the jobs that have waited longer than any may.
+func (b *snapshotter) markOverdue() {
+	for i, j := range b.jobs {
+		if j.begun() || len(j.waitsFor) > 0 {
+			continue
+		}
+		sj := &b.snap.Jobs[i]
+		age := b.now.Sub(j.readyAt).Seconds()
+		sj.OverdueS = max(0, age-mayWait(j, sj.EstimateS, b.slots[sj.Need.Cards > 0], b.zones))
+		sj.TooLate = age > tuning.MustBegin
+	}
+}
+
+// addClaims adds the machines that were asked for without an answer yet: their room
+// counts as coming.
+func (b *snapshotter) addClaims() {
+	for _, cl := range b.claims {
+		typ, ok := b.typeIdx[cl.Type]
+		if !ok || cl.settled {
+			continue
+		}
+		for range cl.Count {
+			b.snap.Machines = append(b.snap.Machines, sched.Machine{Type: typ, Zone: cl.Zone, Spot: cl.Spot, Free: b.snap.Types[typ].Total, Coming: true})
+			b.machines = append(b.machines, nil)
+		}
+	}
+}
+
+func (b *snapshotter) addRefused() {
+	for o, r := range b.refused {
+		if typ, ok := b.typeIdx[o.typ]; ok && b.now.Before(r.until) {
+			b.snap.Refused[sched.Offer{Type: typ, Zone: o.zone, Spot: o.spot}] = true
+		}
+	}
+}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marblehaven/internal/fleet"
+	"marblehaven/internal/ledger"
 	"marblehaven/internal/sched"
 	"marblehaven/internal/tuning"
 )
@@ -17,12 +18,23 @@
 	Classes  []ClassStatus  `msgpack:"k"`
 	Machines []MachineCount `msgpack:"m"`
 	Behind   []Behind       `msgpack:"b"`
+	// Format is the version of the formats that the whole cluster uses, and
+	// Versions what each controller reads.
+	Format   int           `msgpack:"f,omitempty"`
+	Versions []NodeVersion `msgpack:"v,omitempty"`
+}
+
+// NodeVersion is the version of the formats that a controller has recorded.
+type NodeVersion struct {
+	Node   string `msgpack:"n"`
+	Format int    `msgpack:"f"`
 }
 
 // ClassStatus counts the open jobs of a class.
 type ClassStatus struct {
 	Class   string `msgpack:"c"`
 	Waiting int    `msgpack:"w"`
+	Blocked int    `msgpack:"b,omitempty"` // wait for other jobs
 	Running int    `msgpack:"r"`
 	Late    int    `msgpack:"l"`
 }
@@ -44,7 +56,7 @@
 }
 
 func (c *Controller) summarize(s *sched.Snapshot, jobs []*job, plan sched.Plan, now time.Time) {
-	st := Status{Term: c.term.N, CloudOK: c.cloudOK}
+	st := Status{Term: c.term.N, CloudOK: c.cloudOK, Format: c.format, Versions: c.nodeVersions()}
 	late := map[int]bool{}
 	for _, i := range plan.Late {
 		late[i] = true
@@ -61,6 +73,8 @@
 		}
 		waiting := j.desc.Tasks - j.nDone - len(j.live)
 		switch {
+		case len(j.waitsFor) > 0:
+			k.Blocked++
 		case waiting > 0 && len(j.live) == 0:
 			k.Waiting++
 		default:
@@ -69,8 +83,8 @@
 		if s.Jobs[i].DueS < 0 && s.Jobs[i].Rank > 0 || late[i] {
 			k.Late++
 		}
-		if s.Jobs[i].Rank == 0 && waiting > 0 && now.Sub(j.at) > tuning.ErrorLogEvery {
-			st.Behind = append(st.Behind, Behind{j.ref, j.desc.Class, waiting, now.Sub(j.at).Seconds()})
+		if s.Jobs[i].Rank == 0 && waiting > 0 && len(j.waitsFor) == 0 && now.Sub(j.readyAt) > tuning.ErrorLogEvery {
+			st.Behind = append(st.Behind, Behind{j.ref, j.desc.Class, waiting, now.Sub(j.readyAt).Seconds()})
 		}
 	}
 	for _, k := range classes {
@@ -102,6 +116,20 @@
 	}
 }
 
+// nodeVersions lists the controllers of the settings with what they have recorded.
+func (c *Controller) nodeVersions() []NodeVersion {
+	names := []string{c.Config.Node}
+	for _, p := range c.Config.Peers {
+		names = append(names, p.Node)
+	}
+	slices.Sort(names)
+	out := make([]NodeVersion, len(names))
+	for i, name := range names {
+		out[i] = NodeVersion{name, max(ledger.FormatWhole, c.formats[name])}
+	}
+	return out
+}
+
 func (c *Controller) up(m *fleet.Machine, now time.Time) bool {
 	return m.Up && now.Sub(m.LastReport) <= c.silence()
 }
--- /dev/null
+++ b/internal/controller/versions.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"context"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// watchVersions reads which version each controller has recorded. Once all that
+// the settings name read the formats of this program, it records that the whole
+// cluster uses them, guarded by the term. A controller never goes back to an
+// earlier version, so that holds for good.
+func (c *Controller) watchVersions(ctx context.Context) {
+	for {
+		m, err := c.readVersions(ctx)
+		if err == nil && !m.committed && c.allRead(m.formats) {
+			m.committed = c.commitFormat(ctx)
+		}
+		if err != nil {
+			c.Log.Debug("reading the controllers' versions", "err", err)
+		} else {
+			c.send(m)
+		}
+		if m.committed || !pause.For(ctx, tuning.VersionEvery) {
+			return
+		}
+	}
+}
+
+func (c *Controller) readVersions(ctx context.Context) (m versionsMsg, err error) {
+	m.formats = map[string]int{}
+	page, err := c.Store.ListAll(ctx, ledger.PrefixNode)
+	if err != nil {
+		return m, err
+	}
+	for _, it := range page.Items {
+		var v ledger.Version
+		if err := wire.Unmarshal(it.Value, &v); err != nil {
+			c.Log.Error("unreadable version record", "key", it.Key, "err", err)
+			continue // it counts as an earlier version
+		}
+		m.formats[it.Key[len(ledger.PrefixNode):]] = v.Format
+	}
+	_, err = c.Store.Get(ctx, ledger.KeyCluster)
+	m.committed = err == nil
+	if statestore.IsNotFound(err) {
+		err = nil
+	}
+	return m, err
+}
+
+// allRead tells whether every controller of the settings reads what this program
+// writes.
+func (c *Controller) allRead(formats map[string]int) bool {
+	if formats[c.Config.Node] < ledger.FormatOwn {
+		return false
+	}
+	for _, p := range c.Config.Peers {
+		if formats[p.Node] < ledger.FormatOwn {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) commitFormat(ctx context.Context) bool {
+	_, err := c.Store.Commit(ctx, wire.Commit{
+		Guards:  []wire.Guard{{Key: ledger.KeyTerm, Version: c.term.Stamp}},
+		Changes: []wire.Change{{Set: ledger.KeyCluster, Value: ledger.Version{Format: ledger.FormatOwn}}},
+	})
+	if err != nil {
+		c.Log.Info("recording the cluster's version", "err", err) // read again before the next try
+	}
+	return err == nil
+}
+
+func (c *Controller) onVersions(m versionsMsg) {
+	c.formats = m.formats
+	if m.committed {
+		c.useFormat(ledger.FormatPieces)
+	}
+}
+
+// useFormat writes records in a version of the formats from now on.
+func (c *Controller) useFormat(format int) {
+	if format <= c.format {
+		return
+	}
+	c.format = format
+	c.changed = true
+	c.Store.UseSmaller()
+	c.Log.Info("cluster version", "format", format)
+}
+
+// liveMost is how many tasks of a job may be in flight: any number once its run
+// record is kept in pieces, otherwise what one record surely holds.
+func (c *Controller) liveMost() int {
+	if c.format >= ledger.FormatPieces {
+		return tuning.MaxPieces
+	}
+	return max(1, c.Store.ValueBytes()/2/tuning.RecordEntryBytes)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,13 +1,16 @@
 // Package ledger defines the durable records and their keys.
 //
-// An open job is o/<ref> and, once it was worked on, o/<ref>/t. A finished job
-// is d/<ref>. Closing moves a job from one to the other in one commit, so at
-// every moment an accepted job is at exactly one of them: whoever finds neither
-// may say that the job is not known.
+// An open job is o/<ref> and, once it was worked on, o/<ref>/t with the run record,
+// whose further pieces are o/<ref>/t/<number> (see Piece). A finished job is
+// d/<ref>. Closing moves a job from one to the other in one commit, so at every
+// moment an accepted job is at exactly one of them: whoever finds neither may say
+// that the job is not known. Pieces that are left without an open record belong to
+// a finished job and may be removed.
 package ledger
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,24 +23,61 @@
 	KeyTerm    = "term"
 	KeyLeader  = "leader"
 	KeyCatalog = "catalog"
+	KeyCluster = "version"
 	PrefixOpen = "o/"
 	PrefixRent = "r/"
 	PrefixHint = "h/"
+	PrefixNode = "v/"
 )
 
-// OpenKey, RunKey, FinalKey and ClaimKey name a job's and a claim's records.
+// OpenKey, FinalKey, ClaimKey and NodeKey name the records of a job, a claim and a
+// controller.
 func OpenKey(ref string) string  { return PrefixOpen + ref }
-func RunKey(ref string) string   { return PrefixOpen + ref + "/t" }
 func FinalKey(ref string) string { return "d/" + ref }
 func ClaimKey(c string) string   { return PrefixRent + c }
+func NodeKey(node string) string { return PrefixNode + node }
 
-// SplitOpen takes an open or run key apart.
-func SplitOpen(key string) (ref string, run bool) {
-	ref = strings.TrimPrefix(key, PrefixOpen)
-	if r, ok := strings.CutSuffix(ref, "/t"); ok {
-		return r, true
+const runSuffix = "/t"
+
+// PieceKey names a piece of a job's run record. The first has the key of the whole
+// record as version 1 of the formats writes it.
+func PieceKey(ref string, piece int) string {
+	if piece == 0 {
+		return PrefixOpen + ref + runSuffix
+	}
+	return PrefixOpen + ref + runSuffix + "/" + strconv.Itoa(piece)
+}
+
+// NoPiece is the piece number of an open job's own record.
+const NoPiece = -1
+
+// SplitOpen takes the key of an open job's record or of a piece of its run record
+// apart.
+func SplitOpen(key string) (ref string, piece int) {
+	ref, rest, isRun := strings.Cut(strings.TrimPrefix(key, PrefixOpen), runSuffix)
+	if !isRun {
+		return ref, NoPiece
+	}
+	number, err := strconv.Atoi(strings.TrimPrefix(rest, "/"))
+	if err != nil {
+		return ref, 0
 	}
-	return ref, false
+	return ref, number
+}
+
+// Versions of the formats of records. Version 1 keeps a job's whole run record
+// under one key; version 2 divides it into pieces.
+const (
+	FormatWhole  = 1
+	FormatPieces = 2
+	// FormatOwn is what this program can read and write.
+	FormatOwn = FormatPieces
+)
+
+// Version is the format version that a controller can read and write, under its
+// node key, or the one that the whole cluster uses, under the cluster key.
+type Version struct {
+	Format int `msgpack:"v"`
 }
 
 // Term says who leads. The term key outlives every leader; the leader key,
@@ -86,6 +126,9 @@
 type Final struct {
 	Phase string `msgpack:"p"`
 	Tasks int    `msgpack:"n"`
+	// AtMS is the time of day when the job was closed; the waits of jobs that
+	// depend on it count from then. 0 in records of earlier versions.
+	AtMS int64 `msgpack:"a,omitempty"`
 }
 
 // Claim is a rental, written before its call. A claim's name is never reused.
--- /dev/null
+++ b/internal/ledger/pieces.go
@@ -0,0 +1,62 @@
+package ledger
+
+import "marblehaven/internal/tuning"
+
+// Piece is the number of the run record's piece that a task belongs to. The first
+// piece, number 0, also holds the tasks of every piece that was not written yet: a
+// record that holds the whole job is a first piece without others.
+func Piece(task int) int { return task / tuning.PieceTasks }
+
+// Pieces is how many pieces the run record of a job with so many tasks has.
+func Pieces(tasks int) int { return (tasks + tuning.PieceTasks - 1) / tuning.PieceTasks }
+
+// Assemble joins the pieces of a job's run record. Where the first piece still names
+// tasks of a piece that was written since, the latter alone counts for them.
+func Assemble(pieces map[int]Run) Run {
+	var whole Run
+	for number, piece := range pieces {
+		whole.Next = max(whole.Next, piece.Next)
+		counts := func(task int) bool {
+			own := Piece(task)
+			if number != 0 {
+				return own == number
+			}
+			_, written := pieces[own]
+			return own == 0 || !written
+		}
+		for _, placement := range piece.Live {
+			if counts(placement.Task) {
+				whole.Live = append(whole.Live, placement)
+			}
+		}
+		for _, r := range piece.Done.Within(0, tuning.MaxPieces-1) {
+			for task := r[0]; task <= r[1]; task++ {
+				if counts(task) {
+					whole.Done.Add(task)
+				}
+			}
+		}
+	}
+	return whole
+}
+
+// Append adds a range that begins behind all members of the set.
+func (r *Ranges) Append(first, last int) {
+	if n := len(*r); n > 0 && (*r)[n-1][1] == first-1 {
+		(*r)[n-1][1] = last
+		return
+	}
+	*r = append(*r, [2]int{first, last})
+}
+
+// Within returns the members of the set from first to last.
+func (r Ranges) Within(first, last int) Ranges {
+	out := Ranges{}
+	for _, e := range r {
+		low, high := max(e[0], first), min(e[1], last)
+		if low <= high {
+			out = append(out, [2]int{low, high})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/dependencies.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"time"
+
+	"marblehaven/internal/wire"
+)
+
+// needed lists the jobs that a job needs, directly or through others.
+func (w *World) needed(u *userJob) []*userJob {
+	var out []*userJob
+	seen := map[string]bool{}
+	work := u.job.Awaits
+	for len(work) > 0 {
+		ref := work[0]
+		work = work[1:]
+		if d := w.jobs[ref]; d != nil && !seen[ref] {
+			seen[ref] = true
+			out = append(out, d)
+			work = append(work, d.job.Awaits...)
+		}
+	}
+	return out
+}
+
+// complete tells whether all tasks of a job are done.
+func (u *userJob) complete() bool { return len(u.finished) >= u.job.Tasks }
+
+// mayStart tells whether all jobs that a job needs are done.
+func (w *World) mayStart(u *userJob) bool {
+	for _, d := range w.needed(u) {
+		if !d.complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// cancelledBefore tells whether a user has asked to cancel a job that this one
+// needs, and since when one was told that it is; zero: none was.
+func (w *World) cancelledBefore(u *userJob) (asked bool, told time.Time) {
+	for _, d := range w.needed(u) {
+		asked = asked || d.cancelAsked
+		if t := d.cancelTold; !t.IsZero() && (told.IsZero() || t.Before(told)) {
+			told = t
+		}
+	}
+	return asked, told
+}
+
+// judgeDependent judges what the user of a job that needs others is told.
+func (w *World) judgeDependent(u *userJob, phase string) {
+	if phase != wire.PhaseQueued && phase != wire.PhaseRunning {
+		return
+	}
+	_, told := w.cancelledBefore(u)
+	if told.IsZero() {
+		return
+	}
+	if d := time.Since(told); d.Seconds() > w.Cfg.Workers.CancelS {
+		w.breakRule("orphaned: %s is called %s %v after a job that it needs was cancelled", u.job.ID, phase, d)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,7 +13,9 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
+	"marblehaven/internal/config"
 	"marblehaven/internal/wire"
 )
 
@@ -41,6 +44,12 @@
 	OnCommit func(c *wire.Commit)
 	// Limits of a commit; 0 is none. Breaking one is the caller's mistake.
 	MaxOps, MaxValue int
+	// limited: the limits have become smaller without notice. Breaking one gets 400,
+	// and changes beyond the rate get 429.
+	limited bool
+	rate    *rate.Limiter
+	// Refusals counts what the limits refused, by status.
+	Refusals map[int]int
 	// LoseReply picks applied commits that are not answered.
 	LoseReply func() bool
 	// Late picks commits that get no answer and are carried out so much later,
@@ -59,7 +68,7 @@
 
 // NewState makes an empty state service.
 func NewState() *State {
-	return &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}}
+	return &State{keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}, Refusals: map[int]int{}}
 }
 
 // Refuse makes the service answer 503 to a host, or to all with "". When that
@@ -79,6 +88,37 @@
 	}
 }
 
+// Limit makes the limits smaller from now on, without notice.
+func (s *State) Limit(l config.StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limited = true
+	s.MaxOps, s.MaxValue = l.TxnOps, l.ValueBytes()
+	s.rate = rate.NewLimiter(rate.Limit(l.WriteRPS), int(l.WriteRPS))
+}
+
+// Put stores a record, as an earlier process would have.
+func (s *State) Put(key string, value any) {
+	raw, err := wire.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.put(key, entry{value: raw, version: s.rev})
+	s.wake()
+}
+
+// Remove takes a record away.
+func (s *State) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.del(key)
+	s.wake()
+}
+
 // Spoil makes the value of a key unreadable for whoever expects a record there.
 func (s *State) Spoil(key string) {
 	s.mu.Lock()
@@ -293,6 +333,22 @@
 	}
 }
 
+// plainSize is what a value takes as JSON, by the standard library's encoder.
+func plainSize(raw msgpack.RawMessage) int {
+	if raw == nil {
+		return 0
+	}
+	var v any
+	if err := msgpack.Unmarshal(raw, &v); err != nil {
+		panic(err)
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return len(b)
+}
+
 func (s *State) commit(w http.ResponseWriter, body []byte) {
 	var c struct {
 		Guards  []wire.Guard `msgpack:"guards"`
@@ -307,18 +363,40 @@
 		answer(w, 400, wire.ErrorReply{Error: err.Error()})
 		return
 	}
-	if s.MaxOps > 0 && (len(c.Changes) > s.MaxOps || len(c.Guards) > 4*s.MaxOps || len(body) > 64<<10) {
-		panic(fmt.Sprintf("commit of %d changes, %d guards, %d bytes", len(c.Changes), len(c.Guards), len(body)))
+	const aroundKey = 60 // field names, brackets and a version
+	size, broken := 0, ""
+	for _, g := range c.Guards {
+		size += len(g.Key) + aroundKey
+	}
+	if s.MaxOps > 0 && (len(c.Changes) > s.MaxOps || len(c.Guards) > 4*s.MaxOps) {
+		broken = fmt.Sprintf("commit of %d changes, %d guards", len(c.Changes), len(c.Guards))
 	}
 	for _, ch := range c.Changes {
-		if s.MaxValue > 0 && len(ch.Value) > s.MaxValue {
-			panic(fmt.Sprintf("value of %d bytes at %s", len(ch.Value), ch.Set))
+		n := plainSize(ch.Value)
+		size += n + len(ch.Set) + len(ch.Delete) + aroundKey
+		if s.MaxValue > 0 && n > s.MaxValue {
+			broken = fmt.Sprintf("value of %d bytes at %s", n, ch.Set)
 		}
 		if ch.Lease != 0 && s.leases[ch.Lease] == nil {
 			answer(w, 400, wire.ErrorReply{Error: wire.ErrNoLease})
 			return
 		}
 	}
+	if size > 64<<10 || len(body) > 64<<10 {
+		broken = fmt.Sprintf("commit of about %d bytes", size)
+	}
+	switch {
+	case broken != "" && !s.limited:
+		panic(broken)
+	case broken != "":
+		s.Refusals[400]++
+		answer(w, 400, wire.ErrorReply{Error: broken})
+		return
+	case s.rate != nil && !s.rate.AllowN(time.Now(), len(c.Changes)):
+		s.Refusals[429]++
+		answer(w, 429, nil)
+		return
+	}
 	failed := []string{}
 	for _, g := range c.Guards {
 		if s.keys[g.Key].version != g.Version {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -53,6 +53,7 @@
 	accepted    bool
 	cancelAsked bool
 	cancelled   time.Time // when the user was told
+	cancelTold  time.Time // the same, of a job whose user asked for it
 	done        bool      // the user was told
 	finished    map[int]bool
 	besideRoom  time.Time // since when it has waited although there was room; zero: it has not
@@ -274,6 +275,14 @@
 	return 404, nil
 }
 
+// Register makes a job one whose user has submitted it, and was told that it is
+// accepted.
+func (w *World) Register(job wire.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[job.ID] = &userJob{job: job, submitted: true, accepted: true, finished: map[int]bool{}}
+}
+
 // Submit registers a job (users upload its description) and submits it until
 // it gets an answer that is not retried. It returns the status.
 func (w *World) Submit(job wire.Job, runS float64) int {
@@ -312,6 +321,9 @@
 	if j.DeadlineS > 0 {
 		m["dueS"] = j.DeadlineS
 	}
+	if j.Awaits != nil {
+		m["awaits"] = j.Awaits
+	}
 	return m
 }
 
@@ -345,16 +357,22 @@
 	case before.done && st.Phase != wire.PhaseDone, !before.cancelled.IsZero() && st.Phase != wire.PhaseCancelled:
 		w.breakRule("went_back: %s is called %s", u.job.ID, st.Phase)
 	case st.Phase == wire.PhaseCancelled && !u.cancelAsked:
-		w.breakRule("went_back: %s is called cancelled, its user did not ask", u.job.ID)
+		if asked, _ := w.cancelledBefore(u); !asked {
+			w.breakRule("went_back: %s is called cancelled, its user did not ask", u.job.ID)
+		}
 	case st.Phase == wire.PhaseDone && len(u.finished) < u.job.Tasks:
 		w.breakRule("not_done: %s is called done", u.job.ID)
 	}
+	w.judgeDependent(u, st.Phase)
 	if st.Phase == wire.PhaseDone {
 		u.done = true
 	}
 	if st.Phase == wire.PhaseCancelled && u.cancelled.IsZero() {
 		u.cancelled = time.Now()
 	}
+	if st.Phase == wire.PhaseCancelled && u.cancelAsked && u.cancelTold.IsZero() {
+		u.cancelTold = time.Now()
+	}
 }
 
 // Withdraw cancels a job, repeating the request until it is answered.
@@ -435,6 +453,9 @@
 	if !u.accepted && !u.submitted {
 		w.breakRule("invented: %s runs", t.ref)
 	}
+	if !w.mayStart(u) {
+		w.breakRule("too_early: %s/%d on %s at %v", t.ref, t.num, m.id, time.Now())
+	}
 	if !u.cancelled.IsZero() {
 		w.LateStart = max(w.LateStart, time.Since(u.cancelled))
 	}
@@ -478,7 +499,7 @@
 		return
 	}
 	for _, u := range w.jobs {
-		if !u.accepted || u.cancelAsked || u.job.Shape == wire.Gang || !w.roomFor(u) {
+		if !u.accepted || u.cancelAsked || u.job.Shape == wire.Gang || !w.mayStart(u) || !w.roomFor(u) {
 			u.besideRoom = time.Time{}
 			continue
 		}
--- /dev/null
+++ b/internal/statestore/limits.go
@@ -0,0 +1,78 @@
+package statestore
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// limits is what a transaction is held to. Its number of changes always respects
+// the announced limits. Values may be as large as the present limit while records
+// are written as the previous version of the service reads them, and respect the
+// announced limit from the moment when strict is set, which is never undone.
+type limits struct {
+	present config.StateLimits
+	smaller config.StateLimits
+	strict  atomic.Bool
+}
+
+func newLimits(state config.State) *limits {
+	return &limits{present: state.StateLimits, smaller: state.Smaller()}
+}
+
+func (l *limits) valueBytes() int {
+	if l.strict.Load() {
+		return l.smaller.ValueBytes()
+	}
+	return l.present.ValueBytes()
+}
+
+// check encodes the values of a transaction and fails with ErrTooLarge if the
+// state service would refuse it.
+func (l *limits) check(txn *wire.Commit) error {
+	if n := len(txn.Changes); n > l.smaller.TxnOps {
+		return fmt.Errorf("%w: %d changes", ErrTooLarge, n)
+	}
+	if n := len(txn.Guards); n > tuning.TxnGuards*l.smaller.TxnOps {
+		return fmt.Errorf("%w: %d conditions", ErrTooLarge, n)
+	}
+	total := len(txn.Guards) * tuning.TxnEntryBytes
+	for i := range txn.Changes {
+		change := &txn.Changes[i]
+		total += tuning.TxnEntryBytes
+		if change.Value == nil {
+			continue
+		}
+		size, err := encodeValue(change)
+		if err != nil {
+			return err
+		}
+		if size > l.valueBytes() {
+			return fmt.Errorf("%w: %d bytes at %s", ErrTooLarge, size, change.Set)
+		}
+		total += size
+	}
+	if total > tuning.TxnBytes {
+		return fmt.Errorf("%w: %d bytes in all", ErrTooLarge, total)
+	}
+	return nil
+}
+
+// encodeValue replaces the value of a change by its encoding and returns its size.
+func encodeValue(change *wire.Change) (int, error) {
+	raw, ok := change.Value.(msgpack.RawMessage)
+	if !ok {
+		encoded, err := wire.Marshal(change.Value)
+		if err != nil {
+			return 0, err
+		}
+		raw = encoded
+		change.Value = raw
+	}
+	return wire.JSONSize(raw)
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"marblehaven/internal/config"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
@@ -30,23 +31,41 @@
 	ErrNoLease = errors.New("state service: grant is over")
 	// ErrMalformed: the service refused the request as malformed; not executed.
 	ErrMalformed = errors.New("state service: malformed request")
+	// ErrTooLarge: the transaction exceeds the limits, so it was not sent.
+	ErrTooLarge = errors.New("state service: beyond the limits")
 	// ErrCompacted: the follow position is too old.
 	ErrCompacted = errors.New("state service: changes no longer kept")
 )
 
+// IsNotFound tells whether a read failed because there is no such key.
+func IsNotFound(err error) bool { return errors.Is(err, ErrNotFound) }
+
 // Client is a client of the state service. It is safe for concurrent use.
 type Client struct {
 	base   string
 	caller wire.Caller
+	limits *limits
 	lastOK atomic.Int64 // steady time of the last answer that shows service, ns since start
 	start  time.Time
 }
 
-// New makes a client for the address host:port over the given transport.
-func New(addr string, rt http.RoundTripper, cs *wire.Complaints) *Client {
-	return &Client{base: "http://" + addr, caller: wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs}, start: time.Now()}
+// New makes a client for the address host:port over the given transport, within
+// the limits that the settings give.
+func New(addr string, rt http.RoundTripper, cs *wire.Complaints, state config.State) *Client {
+	return &Client{base: "http://" + addr, caller: wire.Caller{HC: &http.Client{Transport: rt}, Complaints: cs},
+		limits: newLimits(state), start: time.Now()}
 }
 
+// ValueBytes is the largest value, in bytes as JSON, that may be written now.
+func (c *Client) ValueBytes() int { return c.limits.valueBytes() }
+
+// TxnOps is how many changes a transaction may have.
+func (c *Client) TxnOps() int { return c.limits.smaller.TxnOps }
+
+// UseSmaller keeps to the smaller of the present and the announced value limit
+// from now on.
+func (c *Client) UseSmaller() { c.limits.strict.Store(true) }
+
 // SinceOK is the time since the service last answered other than by refusing.
 func (c *Client) SinceOK() time.Duration {
 	return time.Since(c.start) - time.Duration(c.lastOK.Load())
@@ -113,9 +132,13 @@
 	return all, err
 }
 
-// Commit applies a transaction. On ErrConflict the reply names the guards.
+// Commit applies a transaction. On ErrConflict the reply names the guards. All
+// writes of the service come through here, so here they are held to the limits.
 func (c *Client) Commit(ctx context.Context, txn wire.Commit) (wire.CommitReply, error) {
 	var r wire.CommitReply
+	if err := c.limits.check(&txn); err != nil {
+		return r, err
+	}
 	status, err := c.call(ctx, tuning.StateTimeout, http.MethodPost, "/commit", txn,
 		map[int]any{200: &r, 409: &r, 400: &r})
 	switch {
@@ -126,6 +149,8 @@
 	case status == 400 && r.Error == wire.ErrNoLease:
 		return r, ErrNoLease
 	case status == 400:
+		// The limits may have become smaller, which no message announces.
+		c.UseSmaller()
 		return r, fmt.Errorf("%w: %s", ErrMalformed, r.Error)
 	case status != 200 || r.Revision == 0:
 		return r, unexpected(status)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -112,19 +112,67 @@
 	// LeaderWriteShare is the leader's part of the changes a second; the rest
 	// is left for submissions and cancellations on all nodes.
 	LeaderWriteShare = 0.7
-	// HintEvery is the pause between writes of what is known of images, of
-	// HintMachines machines and HintImages images each at a time: some kilobytes,
-	// and one change of the 17 that a leader has in a second, in 5 s.
-	HintEvery    = 5 * time.Second
+	// HintEvery is the pause between writes of what is known of images, of as many
+	// machines as fit in a value, HintMachines at most, and HintImages images each:
+	// one change of the dozen that a leader has in a second, in 2.5 s.
+	HintEvery    = 2500 * time.Millisecond
 	HintMachines = 300
 	HintImages   = 16
+	// HintBytes is more than a machine or an image takes in a hint beside its name,
+	// in bytes as JSON: quotes, brackets and the image's size. HintIndexBytes is what
+	// the index of an image takes.
+	HintBytes      = 28
+	HintIndexBytes = 4
 	// ConflictGiveUp is for how long every commit may be refused for its guards
 	// before the leader gives up its term: the event of a cancellation, the usual
 	// cause, comes within a follow call.
 	ConflictGiveUp = 5 * time.Second
 	// RecordEntryBytes is what a placement takes in a job's record at the most,
-	// in bytes as JSON; it bounds a job's tasks in flight by value_kb.
+	// in bytes as JSON; it bounds a job's tasks in flight by value_kb while all
+	// of them are kept in one record.
 	RecordEntryBytes = 48
+	// PieceTasks is how many tasks share one piece of a run record. It is part of
+	// the record format and must never change: with ValueLeastKB it leaves 60
+	// bytes for a task, more than RecordEntryBytes.
+	PieceTasks = 32
+	// PiecesRead is how many pieces of a job a poll reads; its counts of tasks are
+	// for display, and it reads no more for jobs of thousands of tasks.
+	PiecesRead = 32
+	// ValueLeastKB is the smallest value limit to serve with, in KiB: a piece of a
+	// run record must fit.
+	ValueLeastKB = 2.0
+	// TxnOpsLeast is the smallest transaction to serve with: a job's open and
+	// final records and a piece of its run record, and one change beside them.
+	TxnOpsLeast = 4
+	// TxnGuards is how many conditions a transaction may have for each change.
+	TxnGuards = 4
+	// TxnEntryBytes is what a condition or a change takes in a transaction beside
+	// its value, in bytes as JSON: its key, field names and a version.
+	TxnEntryBytes = 120
+	// TxnBytes is the largest transaction in bytes as JSON.
+	TxnBytes = 64 << 10
+	// DependenciesMost bounds the jobs that one job may wait for: their names must
+	// fit in its record, with ids of the largest form in 30 bytes each, and in
+	// one transaction's conditions. Pipelines have a handful.
+	DependenciesMost = 32
+	// DependencyReads bounds the jobs that are read to answer for one job that
+	// waits for others: a few pipelines' worth, within a second's requests.
+	DependencyReads = 64
+	// DependencyCheckShare is the part of cancel_s for which a node relies on its
+	// last reading of the jobs that a job waits for: whoever was told that one of
+	// them is cancelled must hear the same of the dependents within cancel_s.
+	DependencyCheckShare = 0.25
+	// LookupEvery is the pause between two readings of the final records of
+	// dependencies that are not open, and LookupsAtOnce how many are read in a
+	// turn: a small part of the requests of a second.
+	LookupEvery   = time.Second
+	LookupsAtOnce = 20
+	// OutcomeCache is how many final phases a leader remembers for jobs that wait
+	// for others (about 60 bytes each).
+	OutcomeCache = 20000
+	// VersionEvery is the pause between checks of the controllers' versions while
+	// an upgrade is under way.
+	VersionEvery = 2 * time.Second
 
 	// DoTimeout ends a direct command. Workers answer at once unless they hang.
 	DoTimeout = 2 * time.Second
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -36,6 +36,8 @@
 	CheckpointS float64  `msgpack:"snapshotS"`
 	SaveS       float64  `msgpack:"flushS"`
 	DeadlineS   float64  `msgpack:"dueS"` // 0: none
+	// Awaits names the jobs that must be done before any task of this one starts.
+	Awaits []string `msgpack:"awaits,omitempty"`
 }
 
 // ValidID tells whether s has the form of a job id.
@@ -57,7 +59,8 @@
 	needCount
 	needAmount
 	needBool
-	maybeStrings
+	maybeTypes
+	maybeIDs
 	maybeString
 	maybeAmount
 )
@@ -65,9 +68,10 @@
 var jobFields = map[string]int{
 	"ref": needString, "workload": needString, "owner": needString, "shape": needString,
 	"rank": needString, "pieces": needCount, "cores": needAmount, "cards": needAmount,
-	"memGb": needAmount, "bundle": needString, "imageGb": needAmount, "flavors": maybeStrings,
+	"memGb": needAmount, "bundle": needString, "imageGb": needAmount, "flavors": maybeTypes,
 	"quarry": maybeString, "samePlace": needBool, "spread": needBool, "loaners": needBool,
 	"guessS": needAmount, "snapshotS": needAmount, "flushS": needAmount, "dueS": maybeAmount,
+	"awaits": maybeIDs,
 }
 
 // DecodeJob reads a submission and refuses everything that PROTOCOL calls
@@ -116,7 +120,7 @@
 			return nil, err
 		}
 		if c == msgpcode.Nil {
-			if kind < maybeStrings {
+			if kind < maybeTypes {
 				return nil, fmt.Errorf("field %s is null", key)
 			}
 			if err := d.DecodeNil(); err != nil {
@@ -153,8 +157,11 @@
 			if ok = c == msgpcode.True || c == msgpcode.False; ok {
 				*bools[key], err = d.DecodeBool()
 			}
-		case maybeStrings:
-			ok, err = decodeTypes(d, c, &job.Types)
+		case maybeTypes:
+			ok, err = decodeStrings(d, c, &job.Types)
+			ok = ok && len(job.Types) > 0
+		case maybeIDs:
+			ok, err = decodeStrings(d, c, &job.Awaits)
 		}
 		if err != nil {
 			return nil, err
@@ -167,7 +174,7 @@
 		return nil, errors.New("trailing bytes")
 	}
 	for key, kind := range jobFields {
-		if kind < maybeStrings && !seen[key] {
+		if kind < maybeTypes && !seen[key] {
 			return nil, fmt.Errorf("field %s is missing", key)
 		}
 	}
@@ -175,6 +182,9 @@
 	job.Rank, job.Image, job.Zone = strs["rank"], strs["bundle"], strs["quarry"]
 	job.Cores, job.Cards, job.MemGB, job.ImageGB = nums["cores"], nums["cards"], nums["memGb"], nums["imageGb"]
 	job.EstimateS, job.CheckpointS, job.SaveS, job.DeadlineS = nums["guessS"], nums["snapshotS"], nums["flushS"], nums["dueS"]
+	if err := checkDependencies(&job); err != nil {
+		return nil, err
+	}
 	switch {
 	case !ValidID(job.ID):
 		return nil, errors.New("field ref is malformed")
@@ -186,12 +196,32 @@
 	return &job, nil
 }
 
-func decodeTypes(d *msgpack.Decoder, c byte, into *[]string) (bool, error) {
+// checkDependencies checks the ids of the jobs that a job waits for, and drops
+// repeated ones.
+func checkDependencies(job *Job) error {
+	for _, ref := range job.Awaits {
+		switch {
+		case !ValidID(ref):
+			return errors.New("field awaits names no job")
+		case ref == job.ID:
+			return errors.New("field awaits names the job itself")
+		}
+	}
+	slices.Sort(job.Awaits)
+	job.Awaits = slices.Compact(job.Awaits)
+	if len(job.Awaits) > tuning.DependenciesMost {
+		return fmt.Errorf("field awaits names more than %d jobs", tuning.DependenciesMost)
+	}
+	return nil
+}
+
+// decodeStrings reads a list of names that are not empty.
+func decodeStrings(d *msgpack.Decoder, c byte, into *[]string) (bool, error) {
 	if !(msgpcode.IsFixedArray(c) || c == msgpcode.Array16 || c == msgpcode.Array32) {
 		return false, nil
 	}
 	n, err := d.DecodeArrayLen()
-	if err != nil || n == 0 {
+	if err != nil {
 		return false, err
 	}
 	for i := 0; i < n; i++ {
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -22,6 +22,7 @@
 	"marblehaven/internal/controller"
 	"marblehaven/internal/election"
 	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
 	"marblehaven/internal/peer"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
@@ -47,6 +48,7 @@
 	peers   *peer.Group
 	api     *api.Server
 	leading atomic.Pointer[controller.Controller]
+	format  int // the version of the formats of records that it reads and writes
 }
 
 // Run runs a controller until ctx ends. It only returns an error if it cannot
@@ -88,9 +90,9 @@
 }
 
 func newNode(cfg *Config, log *slog.Logger, l links) (*node, error) {
-	n := &node{cfg: cfg, log: log}
+	n := &node{cfg: cfg, log: log, format: ledger.FormatOwn}
 	cs := wire.NewComplaints(log)
-	n.store = statestore.New(cfg.Services.State, l.state, cs)
+	n.store = statestore.New(cfg.Services.State, l.state, cs, cfg.Deployment.State)
 	n.cloud = cloud.New(cfg.Services.Cloud, l.cloud, cs, cfg.Deployment.Cloud.RPS*cfg.Operator.CallBudget)
 	n.workers = worker.New(l.workers, cs, cfg.Deployment.Sockets(len(cfg.Peers)).Commands/2)
 	n.keeper = election.New(n.store, cfg.Node, log)
@@ -107,6 +109,9 @@
 func (n *node) start(ctx context.Context) {
 	n.peers.Run(ctx)
 	go n.learnTypes(ctx)
+	if n.format > ledger.FormatWhole { // which was recorded by nobody
+		go n.recordVersion(ctx)
+	}
 	go n.keeper.Run(ctx, n.lead)
 }
 
@@ -167,6 +172,39 @@
 	}
 }
 
+// recordVersion records once which formats of records this program reads, for the
+// leader to learn when all controllers do. A controller never goes back to an
+// earlier version, so the record holds for good.
+func (n *node) recordVersion(ctx context.Context) {
+	for {
+		err := n.writeVersion(ctx)
+		if err == nil {
+			return
+		}
+		n.log.Debug("recording the version", "err", err)
+		if !pause.For(ctx, tuning.ElectionRetry) {
+			return
+		}
+	}
+}
+
+func (n *node) writeVersion(ctx context.Context) error {
+	key := ledger.NodeKey(n.cfg.Node)
+	it, err := n.store.Get(ctx, key)
+	if err != nil && !statestore.IsNotFound(err) {
+		return err
+	}
+	var v ledger.Version
+	if err == nil && wire.Unmarshal(it.Value, &v) == nil && v.Format >= n.format {
+		return nil
+	}
+	_, err = n.store.Commit(ctx, wire.Commit{
+		Guards:  []wire.Guard{{Key: key, Version: it.Version}},
+		Changes: []wire.Change{{Set: key, Value: ledger.Version{Format: n.format}}},
+	})
+	return err
+}
+
 // Leading is the leader of this node's term, nil if it has none.
 func (n *node) Leading() *controller.Controller { return n.leading.Load() }
 
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -22,6 +22,7 @@
 	"google.golang.org/grpc/status"
 
 	"marblehaven/internal/config"
+	"marblehaven/internal/ledger"
 	"marblehaven/internal/peer"
 	"marblehaven/internal/standin"
 	"marblehaven/internal/wire"
@@ -41,6 +42,8 @@
 	jobs  []string
 	names []string // of all nodes
 	dep   config.Deployment
+	// previous names the nodes that run the previous version of the formats.
+	previous map[string]bool
 }
 
 var nodeNames = []string{"marble-0", "marble-1", "marble-2"}
@@ -56,7 +59,7 @@
 	d.Count, d.Zones = 3, []string{"a", "b"}
 	d.Teams = []config.Team{{Name: "red", Cores: 16, CoresMax: 40, Cards: 4, CardsMax: 8}, {Name: "blue", Cores: 16, CoresMax: 40}}
 	d.Workers = config.Workers{ReportS: 2.5, LeaseS: 12, GangWaitS: 35, GangPeerS: 4, CancelS: 37}
-	d.State = config.State{RPS: 250, WriteRPS: 50, ValueKB: 32, TxnOps: 20}
+	d.State = config.State{StateLimits: config.StateLimits{RPS: 250, WriteRPS: 50, ValueKB: 32, TxnOps: 20}}
 	d.Cloud = config.Cloud{RPS: 4, ListLagS: 10}
 	d.Limits = config.Limits{CPUShare: 1, MemoryMB: 1000, Sockets: 1000}
 	return d
@@ -77,7 +80,7 @@
 func runIn(t *testing.T, seed uint64, names []string, dep config.Deployment, scenario func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c := &cluster{t: t, ctx: ctx, net: standin.NewNetwork(seed), nodes: map[string]*node{}, stops: map[string]func(){}, names: names, dep: dep}
+		c := &cluster{t: t, ctx: ctx, net: standin.NewNetwork(seed), nodes: map[string]*node{}, stops: map[string]func(){}, names: names, dep: dep, previous: map[string]bool{}}
 		out := io.Discard
 		if os.Getenv("SCENARIO_LOG") != "" {
 			out = os.Stderr
@@ -113,13 +116,19 @@
 	}
 	for _, ch := range txn.Changes {
 		key := ch.Set + ch.Delete
-		leaders := strings.HasSuffix(key, "/t") || strings.HasPrefix(key, "d/") || strings.HasPrefix(key, "r/") || key == "catalog"
+		leaders := isRun(key) || strings.HasPrefix(key, "d/") || strings.HasPrefix(key, "r/") || key == "catalog"
 		if (leaders && !guarded["term"]) || (strings.HasPrefix(key, "o/") && !guarded[key]) {
 			c.t.Errorf("unguarded change of %s", key)
 		}
 	}
 }
 
+// isRun tells whether a key is of a piece of a run record.
+func isRun(key string) bool {
+	_, piece := ledger.SplitOpen(key)
+	return strings.HasPrefix(key, ledger.PrefixOpen) && piece != ledger.NoPiece
+}
+
 // boot starts a node, as a new process would.
 func (c *cluster) boot(name string) {
 	i := slices.Index(c.names, name)
@@ -137,6 +146,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.previous[name] {
+		n.format = ledger.FormatWhole
+	}
 	n.start(ctx)
 	c.mu.Lock()
 	c.nodes[name], c.stops[name] = n, cancel
--- /dev/null
+++ b/upgrade_test.go
@@ -0,0 +1,245 @@
+package marblehaven
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/standin"
+	"marblehaven/internal/wire"
+)
+
+// wide is a deployment in which hundreds of tasks of a job run at once, with smaller
+// limits of the state service announced.
+func wide() config.Deployment {
+	d := deployment()
+	d.Teams[0].CoresMax = 400
+	value, ops, rps := 2.0, 6, 30.0
+	d.State.Next = config.NextLimits{ValueKB: &value, TxnOps: &ops, WriteRPS: &rps}
+	return d
+}
+
+// array is a large array of small tasks.
+func array(n, tasks int) wire.Job {
+	j := sweep(n, "check", tasks)
+	j.Cores, j.MemGB = 1, 2
+	return j
+}
+
+// runUpgrade plays a scenario that begins with the previous version on all nodes.
+func runUpgrade(t *testing.T, seed uint64, scenario func(c *cluster)) {
+	runIn(t, seed, nodeNames, wide(), func(c *cluster) {
+		c.restartAs(true, nodeNames...)
+		c.w.State.OnCommit = func(txn *wire.Commit) {
+			c.checkGuards(txn)
+			c.checkFormat(txn)
+		}
+		for _, key := range c.w.State.Keys(ledger.PrefixNode) {
+			c.w.State.Remove(key)
+		}
+		c.w.State.Remove(ledger.KeyCluster)
+		c.restartAs(true, nodeNames...)
+		c.until("a node leads", time.Minute, func() bool { return c.leader() != "" })
+		scenario(c)
+	})
+}
+
+// checkFormat judges that nothing is written that the previous version can't read as
+// long as it may still lead.
+func (c *cluster) checkFormat(txn *wire.Commit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, ch := range txn.Changes {
+		_, piece := ledger.SplitOpen(ch.Set)
+		if isRun(ch.Set) && piece > 0 && slices.ContainsFunc(c.names, func(n string) bool { return c.previous[n] }) {
+			c.t.Errorf("%s is written while not all can read it", ch.Set)
+		}
+	}
+}
+
+// restartAs restarts nodes as the previous or the present version.
+func (c *cluster) restartAs(previous bool, names ...string) {
+	for _, name := range names {
+		c.kill(name)
+		c.mu.Lock()
+		c.previous[name] = previous
+		c.mu.Unlock()
+		c.boot(name)
+	}
+}
+
+// pieces counts the pieces of run records beyond the first of each job.
+func (c *cluster) pieces() (n int) {
+	for _, key := range c.w.State.Keys(ledger.PrefixOpen) {
+		if _, piece := ledger.SplitOpen(key); piece > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) uses(format int) func() bool {
+	return func() bool {
+		var v ledger.Version
+		raw := c.w.State.Value(ledger.KeyCluster)
+		return raw != nil && wire.Unmarshal(raw, &v) == nil && v.Format == format
+	}
+}
+
+// Controllers are upgraded one after the other while a large array runs, whose record
+// is beyond the limits that come then. The array goes on, in pieces that fit.
+func TestUpgrade(t *testing.T) {
+	runUpgrade(t, 70, func(c *cluster) {
+		c.submit(array(1, 340), 30)
+		c.submit(standing(2, 3), 0)
+		c.until("hundreds run", 4*time.Minute, func() bool { return len(c.w.On(jobID(1))) > 200 })
+		for i, name := range nodeNames {
+			if c.uses(ledger.FormatPieces)() {
+				t.Errorf("%d of 3 are upgraded, and the cluster uses the new format", i)
+			}
+			c.restartAs(false, name)
+			time.Sleep(8 * time.Second)
+		}
+		c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
+		c.w.State.Limit(c.dep.State.Smaller())
+		c.submit(array(3, 340), 20)
+		c.until("pieces are written", 2*time.Minute, func() bool { return c.pieces() > 3 })
+		whole := c.pipeline(100)
+		c.killLeader()
+		c.untilDone(10*time.Minute, append(whole, jobID(1), jobID(3))...)
+		c.until("the pieces are removed", 2*time.Minute, func() bool { return c.pieces() == 0 })
+		if n := c.w.State.Refusals[400]; n > 0 {
+			t.Errorf("%d writes beyond the limits", n)
+		}
+	})
+}
+
+// The limits become smaller before the cluster uses the new format, since a node that
+// was upgraded could not record it. What runs goes on, and so does new work; no write
+// is sent again and again that can't be taken.
+func TestLimitsBeforeFormat(t *testing.T) {
+	runUpgrade(t, 71, func(c *cluster) {
+		c.submit(array(1, 340), 40)
+		c.until("hundreds run", 4*time.Minute, func() bool { return len(c.w.On(jobID(1))) > 200 })
+		last := nodeNames[2]
+		mend := c.cut(last, "state", standin.Hold)
+		for _, name := range nodeNames {
+			c.restartAs(false, name)
+			time.Sleep(3 * time.Second)
+		}
+		c.w.State.Limit(c.dep.State.Smaller())
+		c.submit(array(2, 100), 10)
+		c.submit(standing(3, 3), 0)
+		c.untilDone(8*time.Minute, jobID(1), jobID(2))
+		if c.uses(ledger.FormatPieces)() || c.pieces() > 0 {
+			t.Error("the cluster uses the new format without a node")
+		}
+		if n := c.w.State.Refusals[400]; n > 20 {
+			t.Errorf("%d writes beyond the limits", n)
+		}
+		mend()
+		c.until("the cluster uses the new format", 30*time.Second, c.uses(ledger.FormatPieces))
+		c.submit(array(4, 200), 10)
+		c.untilDone(8*time.Minute, jobID(4))
+	})
+}
+
+// A leader that dies after any transaction with which it writes, divides or removes a
+// run record leaves a state that the next one reads rightly.
+func TestDeathBetweenPieces(t *testing.T) {
+	for seed := range seeds(4) {
+		runIn(t, 720+seed, nodeNames, wide(), func(c *cluster) {
+			c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
+			c.w.State.Limit(c.dep.State.Smaller())
+			var killed int
+			die := make(chan struct{}, 1)
+			c.w.State.OnCommit = func(txn *wire.Commit) {
+				c.checkGuards(txn)
+				for _, ch := range txn.Changes {
+					_, piece := ledger.SplitOpen(ch.Set + ch.Delete)
+					if piece > 0 && killed < 12 && c.w.Random() < 0.2 {
+						killed++
+						select {
+						case die <- struct{}{}:
+						default:
+						}
+						return
+					}
+				}
+			}
+			c.w.State.Late = c.lateCommits(0.03)
+			go func() {
+				for c.ctx.Err() == nil {
+					select {
+					case <-die:
+						if l := c.leader(); l != "" {
+							c.kill(l)
+							time.Sleep(time.Second)
+							c.boot(l)
+						}
+					case <-c.ctx.Done():
+					}
+				}
+			}()
+			c.submit(array(1, 200), 10)
+			c.submit(array(2, 150), 10)
+			c.submit(after(array(3, 70), jobID(1)), 5)
+			c.untilDone(15*time.Minute, jobID(1), jobID(2), jobID(3))
+			c.w.State.Late = nil
+			c.until("the pieces are removed", 3*time.Minute, func() bool { return c.pieces() == 0 })
+			if killed < 3 {
+				t.Errorf("only %d leaders died", killed)
+			}
+		})
+	}
+}
+
+// A piece that can't be read: nothing of the job is started before all that it may
+// have named is surely over, and then the job goes on to its end.
+func TestUnreadablePiece(t *testing.T) {
+	runIn(t, 73, nodeNames, wide(), func(c *cluster) {
+		c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
+		c.submit(array(1, 120), 60)
+		c.until("all run", 4*time.Minute, func() bool { return len(c.w.On(jobID(1))) == 120 })
+		c.w.State.Spoil(ledger.PieceKey(jobID(1), 2))
+		c.killLeader()
+		c.known(jobID(1))
+		c.untilDone(8*time.Minute, jobID(1))
+	})
+}
+
+// A version record that can't be read counts as one of the previous version.
+func TestUnreadableVersion(t *testing.T) {
+	runUpgrade(t, 74, func(c *cluster) {
+		c.w.State.Spoil(ledger.NodeKey(nodeNames[2]))
+		c.restartAs(false, nodeNames[0], nodeNames[1])
+		time.Sleep(20 * time.Second)
+		if c.uses(ledger.FormatPieces)() {
+			t.Error("the cluster uses the new format")
+		}
+		c.restartAs(false, nodeNames[2]) // it writes its record anew
+		c.until("the cluster uses the new format", 30*time.Second, c.uses(ledger.FormatPieces))
+	})
+}
+
+// Of jobs that were accepted under larger limits, those with long records too can be
+// cancelled and are closed.
+func TestCancelLargeRecord(t *testing.T) {
+	runIn(t, 75, nodeNames, wide(), func(c *cluster) {
+		j := sweep(1, strings.Repeat("c", 140), 1)
+		for range 20 {
+			j.Types = append(j.Types, strings.Repeat("t", 140))
+		}
+		c.w.Register(j)
+		c.w.State.Put(ledger.OpenKey(j.ID), ledger.OpenJob{Job: j, AtMS: time.Now().UnixMilli()})
+		c.w.State.Limit(c.dep.State.Smaller())
+		if st := c.w.Submit(j, 5); st != 200 {
+			t.Errorf("an accepted job submitted again gets %d", st)
+		}
+		c.w.Withdraw(j.ID)
+		c.until("it is closed", time.Minute, func() bool { return c.w.State.Value(ledger.FinalKey(j.ID)) != nil })
+	})
+}
