--- /dev/null
+++ b/internal/controller/runrecord_test.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// taskState is what a plain model keeps of a task: 0 if nothing was recorded, the
+// attempt of a placement, or completed.
+type taskState int
+
+const completed taskState = -1
+
+// stateOf lists the states of all tasks as a record says.
+func stateOf(r *ledger.Run, tasks int) []taskState {
+	out := make([]taskState, tasks)
+	for _, p := range r.Live {
+		out[p.Task] = taskState(p.Attempt)
+	}
+	for task := range out {
+		if r.Done.Has(task) {
+			out[task] = completed
+		}
+	}
+	return out
+}
+
+// Pieces of a run record are written in any order, from before they are divided on,
+// and read at any moment. Each task is then as the last write that held it said:
+// nothing that was recorded is missing, and nothing older comes back.
+func TestPiecesComparedWithModel(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for range 200 {
+		tasks := 1 + rng.IntN(200)
+		j := newJob("req-1", &ledger.OpenJob{Job: wire.Job{ID: "req-1", Shape: wire.Array, Tasks: tasks}}, 1, time.Now())
+		c := &Controller{format: ledger.FormatWhole}
+		machine := &fleet.Machine{ID: "m-000001"}
+		stored := map[int]ledger.Run{}
+		model := make([]taskState, tasks)
+		for step := range 100 {
+			switch rng.IntN(4) {
+			case 0, 1:
+				task := rng.IntN(tasks)
+				changeTask(j, task, machine, rng)
+				c.markDirty(j, task, rng.IntN(2) == 0, time.Now())
+			case 2:
+				writePiece(j, rng, stored, model, uint64(step+2))
+			case 3:
+				if rng.IntN(5) == 0 {
+					c.format = ledger.FormatPieces
+				}
+				if c.format >= ledger.FormatPieces && rng.IntN(4) == 0 {
+					j.divide(false, time.Now())
+				}
+			}
+			whole := ledger.Assemble(stored)
+			if d := cmp.Diff(model, stateOf(&whole, tasks)); d != "" {
+				t.Fatalf("%d tasks, step %d: %s", tasks, step, d)
+			}
+		}
+	}
+}
+
+// changeTask starts a task, completes it, or takes its placement back.
+func changeTask(j *job, task int, machine *fleet.Machine, rng *rand.Rand) {
+	switch {
+	case j.done.Has(task):
+	case j.live[task] == nil:
+		j.live[task] = &fleet.Placement{Key: fleet.Key{Job: j.ref, Task: task}, Attempt: j.next, Machine: machine}
+		j.next++
+	case rng.IntN(2) == 0:
+		delete(j.live, task)
+	default:
+		delete(j.live, task)
+		j.done.Add(task)
+	}
+}
+
+// writePiece writes one of the pieces that lag behind.
+func writePiece(j *job, rng *rand.Rand, stored map[int]ledger.Run, model []taskState, version uint64) {
+	var dirty []int
+	for number := range j.pieces {
+		if j.pieces[number].dirty {
+			dirty = append(dirty, number)
+		}
+	}
+	if len(dirty) == 0 {
+		return
+	}
+	number := dirty[rng.IntN(len(dirty))]
+	for task := range model {
+		if !j.owns(number, task) {
+			continue
+		}
+		model[task] = 0
+		if p := j.live[task]; p != nil {
+			model[task] = taskState(p.Attempt)
+		}
+		if j.done.Has(task) {
+			model[task] = completed
+		}
+	}
+	stored[number] = j.record(number)
+	p := j.piece(number)
+	p.version, p.dirty, p.urgent = version, false, false
+}
+
+// A piece fits in the smallest value that is served with, whatever its tasks are at.
+func TestPieceFits(t *testing.T) {
+	for _, share := range []int{0, 2, 3, 1000} {
+		j := newJob("req-1", &ledger.OpenJob{Job: wire.Job{ID: "req-1", Tasks: tuning.MaxPieces, Spread: true}}, 1, time.Now())
+		j.next = 900 << tuning.TermShift
+		number := ledger.Pieces(tuning.MaxPieces) - 1
+		for task := number * tuning.PieceTasks; task < tuning.MaxPieces; task++ {
+			if share > 0 && task%share == 0 {
+				j.done.Add(task)
+				continue
+			}
+			j.live[task] = &fleet.Placement{Key: fleet.Key{Task: task}, Attempt: j.next, Session: 99,
+				Machine: &fleet.Machine{ID: "m-123456", Zone: "north-west-10"}}
+		}
+		raw, err := wire.Marshal(j.record(number))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if size, err := wire.JSONSize(raw); err != nil || size > tuning.ValueLeastKB*1024 {
+			t.Errorf("%d bytes, %v", size, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/compatible_test.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"reflect"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/wire"
+)
+
+// testdata/production.json holds records and peers' messages as the version in
+// production (deploy/service.toml) writes them, in hexadecimal. During an upgrade
+// each version works on the other's, so what this one makes of them, and what it
+// writes where nothing new is said, must stay the same to the byte.
+func TestProductionFormats(t *testing.T) {
+	raw, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kept map[string]string
+	if err := json.Unmarshal(raw, &kept); err != nil {
+		t.Fatal(err)
+	}
+	job := wire.Job{ID: "req-000412", Class: "train", Team: "vision", Shape: wire.Gang, Rank: wire.High, Tasks: 16, Cores: 8, Cards: 1,
+		MemGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", OneZone: true, Spot: true, EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: 900}
+	const atMS = 1790000000123
+	term := ledger.Term{N: 41, Node: "marble-2"}
+	for name, want := range map[string]any{
+		"open":      &ledger.OpenJob{Job: job, AtMS: atMS},
+		"cancelled": &ledger.OpenJob{Job: job, AtMS: atMS, Cancelled: true},
+		"run": &ledger.Run{Next: 900, Done: ledger.Ranges{{0, 3}, {7, 7}, {40, 99}}, Live: []ledger.Placement{
+			{Task: 5, Attempt: 12, Machine: "m-000231", Session: 2, Zone: "a"}, {Task: 101, Attempt: 899, Machine: "m-000007", Session: 1}}},
+		"final": &ledger.Final{Phase: wire.PhaseDone, Tasks: 16},
+		"term":  &term,
+		"claim": &ledger.Claim{Claim: "r-41-7", Type: "g8", Zone: "a", Spot: true, Count: 12, AtMS: atMS},
+		"hint":  &ledger.Hint{Images: []string{"img-07", "img-09"}, GB: []float64{6.2, 1}, Machines: map[string][]int{"m-000231": {1, 0}}},
+		"catalog": &[]wire.MachineType{{Name: "g8", Cores: 96, Cards: 8, MemGB: 768, CacheGB: 200, FetchGBps: 1, Price: 12, SpotPrice: 4.5,
+			BootS: 45, Zones: []string{"a", "b"}}},
+		"statusRequest": &StatusRequest{Leader: term, Acknowledged: true},
+		"status": &Status{Leader: term, StateMS: 120, Acknowledged: []string{"req-000412"}, CompleteMS: 9000, Redirected: 3,
+			Summary: []byte{1}},
+		"userCall":   &UserCall{Op: "poll", Ref: "req-000412", Body: []byte{0x80}},
+		"userAnswer": &UserAnswer{Status: 200, Body: []byte{0x80}},
+	} {
+		old, err := hex.DecodeString(kept[name])
+		if err != nil || len(old) == 0 {
+			t.Fatalf("%s: %v", name, err)
+		}
+		got := reflect.New(reflect.TypeOf(want).Elem()).Interface()
+		if err := wire.Unmarshal(old, got); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if d := cmp.Diff(want, got, cmp.AllowUnexported(ledger.Placement{})); d != "" {
+			t.Errorf("%s is read differently: %s", name, d)
+		}
+		if now, err := wire.Marshal(want); err != nil || !bytes.Equal(now, old) {
+			t.Errorf("%s is written as\n%x, in production as\n%x", name, now, old)
+		}
+		delete(kept, name)
+	}
+	for name := range kept {
+		t.Errorf("%s is not compared", name)
+	}
+}
+
+// What this version writes beyond that is passed over by the one in production, whose
+// structures are these: the names of a job's dependencies, and when a job was closed.
+func TestReadByProduction(t *testing.T) {
+	open, _ := wire.Marshal(ledger.OpenJob{Job: wire.Job{ID: "req-000001", Tasks: 3, Awaits: []string{"req-000002"}}, AtMS: 7})
+	var job struct {
+		Job struct {
+			ID    string `msgpack:"ref"`
+			Tasks int    `msgpack:"pieces"`
+		} `msgpack:"j"`
+		AtMS      int64 `msgpack:"a"`
+		Cancelled bool  `msgpack:"c,omitempty"`
+	}
+	if err := wire.Unmarshal(open, &job); err != nil || job.Job.ID != "req-000001" || job.Job.Tasks != 3 || job.AtMS != 7 {
+		t.Errorf("open record read as %+v, %v", job, err)
+	}
+	closed, _ := wire.Marshal(ledger.Final{Phase: wire.PhaseDone, Tasks: 3, AtMS: 9})
+	var final struct {
+		Phase string `msgpack:"p"`
+		Tasks int    `msgpack:"n"`
+	}
+	if err := wire.Unmarshal(closed, &final); err != nil || final.Phase != wire.PhaseDone || final.Tasks != 3 {
+		t.Errorf("final record read as %+v, %v", final, err)
+	}
+}
