--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -108,10 +108,10 @@
 	if ended := m.Lapse(now); len(ended) > 0 {
 		t.Error("lapsed before the lease is over")
 	}
-	if ended, _ := m.Observe(report(2, 2, base), parse, now, now.Add(lease)); len(ended) != 1 {
+	if ended, _ := m.Observe(report(2, 2, base), parse, now, now.Add(lease)); len(ended) != 1 || ended[0].Placement != p {
 		t.Error("a new tenure did not release")
 	}
-	m, p, now = start(t)
+	m, p, _ = start(t)
 	after := m.LeaseEnd.Add(time.Millisecond)
 	if ended := m.Lapse(after); len(ended) != 1 || ended[0].Placement != p {
 		t.Error("a lease that is over did not release")
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -104,11 +104,10 @@
 
 // Placement is a task that may be on a machine.
 type Placement struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Task     int
-	Attempt  uint64
-	Machine  string
-	Session  uint64
+	Task    int
+	Attempt uint64
+	Machine string
+	Session uint64
 	// Zone is set where the job has conditions on zones: a new leader may not
 	// know the machine's yet, and must count the task where it is.
 	Zone string
--- /dev/null
+++ b/internal/ledger/placement.go
@@ -0,0 +1,54 @@
+package ledger
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// placementFields is the number of fields of a placement, which is stored as a list
+// of them without names: run records hold hundreds.
+const placementFields = 5
+
+// EncodeMsgpack writes the fields in their order.
+func (p Placement) EncodeMsgpack(e *msgpack.Encoder) error {
+	if err := e.EncodeArrayLen(placementFields); err != nil {
+		return err
+	}
+	if err := e.EncodeInt(int64(p.Task)); err != nil {
+		return err
+	}
+	if err := e.EncodeUint64(p.Attempt); err != nil {
+		return err
+	}
+	if err := e.EncodeString(p.Machine); err != nil {
+		return err
+	}
+	if err := e.EncodeUint64(p.Session); err != nil {
+		return err
+	}
+	return e.EncodeString(p.Zone)
+}
+
+// DecodeMsgpack reads the fields in their order; missing ones are zero, and what a
+// later version adds behind them is passed over.
+func (p *Placement) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	*p = Placement{}
+	fields := []func() error{
+		func() (err error) { p.Task, err = d.DecodeInt(); return err },
+		func() (err error) { p.Attempt, err = d.DecodeUint64(); return err },
+		func() (err error) { p.Machine, err = d.DecodeString(); return err },
+		func() (err error) { p.Session, err = d.DecodeUint64(); return err },
+		func() (err error) { p.Zone, err = d.DecodeString(); return err },
+	}
+	for i := range n {
+		read := d.Skip
+		if i < len(fields) {
+			read = fields[i]
+		}
+		if err := read(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/peer/compatible_test.go
+++ b/internal/peer/compatible_test.go
@@ -56,7 +56,7 @@
 		if err := wire.Unmarshal(old, got); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
-		if d := cmp.Diff(want, got, cmp.AllowUnexported(ledger.Placement{})); d != "" {
+		if d := cmp.Diff(want, got); d != "" {
 			t.Errorf("%s is read differently: %s", name, d)
 		}
 		if now, err := wire.Marshal(want); err != nil || !bytes.Equal(now, old) {
