--- a/chaos_test.go
+++ b/chaos_test.go
@@ -21,7 +21,8 @@
 	c.w.Limit("big", "b", false, 3)
 	next := 0
 	var mu sync.Mutex
-	var keep []string // jobs that must be done in the end
+	var keep []string     // jobs that must be done in the end, unless one they need is cancelled
+	var accepted []string // jobs that others may wait for
 	later := func(d time.Duration, f func()) {
 		go func() {
 			time.Sleep(d)
@@ -49,12 +50,24 @@
 			j.Team = "blue"
 		}
 		cancel := j.Shape == wire.Service || rng.IntN(4) == 0
+		mu.Lock()
+		for range rng.IntN(3) {
+			if len(accepted) > 0 && j.Shape != wire.Service {
+				j.Awaits = append(j.Awaits, accepted[rng.IntN(len(accepted))])
+			}
+		}
+		mu.Unlock()
 		after := secs(1, 60)
 		go func() {
 			// A submission that was not taken in its time is no promise.
-			if st := c.w.Submit(j, runS); !cancel && (st == 200 || st == 201) {
+			if st := c.w.Submit(j, runS); st == 200 || st == 201 {
 				mu.Lock()
-				keep = append(keep, j.ID)
+				if !cancel {
+					keep = append(keep, j.ID)
+				}
+				if j.Shape != wire.Service {
+					accepted = append(accepted, j.ID)
+				}
 				mu.Unlock()
 			}
 			if cancel {
@@ -209,7 +222,7 @@
 	time.Sleep(90 * time.Second)
 	c.w.Calm() // whatever was under way is over
 	mu.Lock()
-	refs := slices.Clone(keep)
+	refs := slices.DeleteFunc(slices.Clone(keep), func(ref string) bool { return !c.w.MayFinish(ref) })
 	mu.Unlock()
 	if len(refs) == 0 {
 		c.t.Fatal("no job was accepted")
--- a/internal/standin/dependencies.go
+++ b/internal/standin/dependencies.go
@@ -23,6 +23,14 @@
 	return out
 }
 
+// MayFinish tells whether no user has asked to cancel the job or one that it needs.
+func (w *World) MayFinish(ref string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	asked, _ := w.cancelledBefore(w.jobs[ref])
+	return !asked && !w.jobs[ref].cancelAsked
+}
+
 // complete tells whether all tasks of a job are done.
 func (u *userJob) complete() bool { return len(u.finished) >= u.job.Tasks }
 
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -156,20 +156,20 @@
 		runIn(t, 720+seed, nodeNames, wide(), func(c *cluster) {
 			c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
 			c.w.State.Limit(c.dep.State.Smaller())
-			var killed int
-			die := make(chan struct{}, 1)
+			var transactions, killed uint64
+			die := make(chan struct{}, 12)
 			c.w.State.OnCommit = func(txn *wire.Commit) {
 				c.checkGuards(txn)
-				for _, ch := range txn.Changes {
+				further := func(ch wire.Change) bool {
 					_, piece := ledger.SplitOpen(ch.Set + ch.Delete)
-					if piece > 0 && killed < 12 && c.w.Random() < 0.2 {
-						killed++
-						select {
-						case die <- struct{}{}:
-						default:
-						}
-						return
-					}
+					return piece > 0
+				}
+				if !slices.ContainsFunc(txn.Changes, further) {
+					return
+				}
+				if transactions++; transactions%3 == seed%3 && killed < 12 {
+					killed++
+					die <- struct{}{}
 				}
 			}
 			c.w.State.Late = c.lateCommits(0.03)
@@ -186,6 +186,7 @@
 					}
 				}
 			}()
+			c.w.Uneven = 0.02 // so pieces are written again and again
 			c.submit(array(1, 200), 10)
 			c.submit(array(2, 150), 10)
 			c.submit(after(array(3, 70), jobID(1)), 5)
