--- a/chaos_test.go
+++ b/chaos_test.go
@@ -12,7 +12,11 @@
 
 // chaos submits and cancels jobs of all shapes while nodes die, links are cut,
 // machines hang and vanish and the state service refuses one or all.
-func chaos(c *cluster, seed uint64) {
+func chaos(c *cluster, seed uint64) { chaosDuring(c, seed, func(int) bool { return true }) }
+
+// chaosDuring is chaos with a step of the scenario's own before each of its steps;
+// it returns whether jobs may wait for others by then.
+func chaosDuring(c *cluster, seed uint64, before func(step int) bool) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	c.net.Repeat = map[string]time.Duration{"/do": 20 * time.Second, "/hello": 40 * time.Second, "/commit": 20 * time.Second,
 		"/rentals": 20 * time.Second, "/rentals/return": 20 * time.Second, "/v1/jobs": 60 * time.Second}
@@ -34,7 +38,8 @@
 	secs := func(low, high int) time.Duration {
 		return time.Duration(low+rng.IntN(high-low)) * time.Second
 	}
-	for range 70 {
+	for step := range 70 {
+		chains := before(step)
 		next++
 		var j wire.Job
 		runS := float64(5 + rng.IntN(40))
@@ -52,7 +57,7 @@
 		cancel := j.Shape == wire.Service || rng.IntN(4) == 0
 		mu.Lock()
 		for range rng.IntN(3) {
-			if len(accepted) > 0 && j.Shape != wire.Service {
+			if chains && len(accepted) > 0 && j.Shape != wire.Service {
 				j.Awaits = append(j.Awaits, accepted[rng.IntN(len(accepted))])
 			}
 		}
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -1,6 +1,7 @@
 package marblehaven
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -117,6 +118,38 @@
 	})
 }
 
+// All random troubles while the controllers are upgraded, at random moments, and the
+// limits become smaller afterwards, with arrays of several pieces among the jobs.
+func TestChaosUpgrade(t *testing.T) {
+	for seed := range seeds(3) {
+		runUpgrade(t, 760+seed, func(c *cluster) {
+			rng := rand.New(rand.NewPCG(seed, 11))
+			var large []string
+			left := slices.Clone(nodeNames)
+			limitAt := -1
+			chaosDuring(c, seed, func(step int) bool {
+				if step%20 == 5 {
+					j := array(5000+step, 60+rng.IntN(60))
+					if st := c.w.Submit(j, 10); st == 200 || st == 201 {
+						large = append(large, j.ID)
+					}
+				}
+				if step > 5 && len(left) > 0 && rng.IntN(4) == 0 {
+					c.restartAs(false, left[0])
+					left = left[1:]
+					limitAt = step + rng.IntN(10)
+				}
+				if len(left) == 0 && step == max(limitAt, 1) {
+					c.w.State.Limit(c.dep.State.Smaller())
+				}
+				return len(left) == 0
+			})
+			c.untilDone(10*time.Minute, large...)
+			c.until("the cluster uses the new format", time.Minute, c.uses(ledger.FormatPieces))
+		})
+	}
+}
+
 // The limits become smaller before the cluster uses the new format, since a node that
 // was upgraded could not record it. What runs goes on, and so does new work; no write
 // is sent again and again that can't be taken.
