--- /dev/null
+++ b/cluster_test.go
@@ -0,0 +1,357 @@
+package marblehaven
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/peer"
+	"marblehaven/internal/standin"
+	"marblehaven/internal/wire"
+)
+
+// cluster is three real nodes in a stand-in world, in synthetic time.
+type cluster struct {
+	t     *testing.T
+	ctx   context.Context
+	net   *standin.Network
+	w     *standin.World
+	log   *slog.Logger
+	mu    sync.Mutex
+	nodes map[string]*node
+	stops map[string]func()
+	mends []func()
+	jobs  []string
+	names []string // of all nodes
+	dep   config.Deployment
+	// previous names the nodes that run the previous version of the formats.
+	previous map[string]bool
+}
+
+var nodeNames = []string{"marble-0", "marble-1", "marble-2"}
+
+var testTypes = []wire.MachineType{
+	{Name: "small", Cores: 4, MemGB: 16, CacheGB: 40, FetchGBps: 1, Price: 0.2, SpotPrice: 0.06, BootS: 20, Zones: []string{"a", "b"}},
+	{Name: "big", Cores: 16, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 1, SpotPrice: 0.3, BootS: 25, Zones: []string{"a", "b"}},
+	{Name: "card", Cores: 16, Cards: 4, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 9, SpotPrice: 3, BootS: 25, Zones: []string{"a", "b"}},
+}
+
+func deployment() config.Deployment {
+	var d config.Deployment
+	d.Count, d.Zones = 3, []string{"a", "b"}
+	d.Teams = []config.Team{{Name: "red", Cores: 16, CoresMax: 40, Cards: 4, CardsMax: 8}, {Name: "blue", Cores: 16, CoresMax: 40}}
+	d.Workers = config.Workers{ReportS: 2.5, LeaseS: 12, GangWaitS: 35, GangPeerS: 4, CancelS: 37}
+	d.State = config.State{StateLimits: config.StateLimits{RPS: 250, WriteRPS: 50, ValueKB: 32, TxnOps: 20}}
+	d.Cloud = config.Cloud{RPS: 4, ListLagS: 10}
+	d.Limits = config.Limits{CPUShare: 1, MemoryMB: 1000, Sockets: 1000}
+	return d
+}
+
+// testLease is the lease of the workers in deployment.
+var testLease = time.Duration(deployment().Workers.LeaseS * float64(time.Second))
+
+// run plays a scenario with three nodes and judges it by the rules.
+func run(t *testing.T, seed uint64, scenario func(c *cluster)) {
+	runWith(t, seed, nodeNames, scenario)
+}
+
+func runWith(t *testing.T, seed uint64, names []string, scenario func(c *cluster)) {
+	runIn(t, seed, names, deployment(), scenario)
+}
+
+func runIn(t *testing.T, seed uint64, names []string, dep config.Deployment, scenario func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cluster{t: t, ctx: ctx, net: standin.NewNetwork(seed), nodes: map[string]*node{}, stops: map[string]func(){}, names: names, dep: dep, previous: map[string]bool{}}
+		out := io.Discard
+		if os.Getenv("SCENARIO_LOG") != "" {
+			out = os.Stderr
+		}
+		c.log = slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+		c.w = standin.NewWorld(ctx, c.net, dep, testTypes)
+		c.w.State.OnCommit = c.checkGuards
+		for i, name := range names {
+			c.w.AddNode(name, fmt.Sprintf("10.0.0.%d:80", i+1))
+			c.boot(name)
+		}
+		time.Sleep(2 * time.Second)
+		scenario(c)
+		for _, rule := range c.w.Broken() {
+			t.Error("rule broken:", rule)
+		}
+		c.mend()
+		for _, stop := range c.stops {
+			stop()
+		}
+		cancel()
+		time.Sleep(time.Minute) // what is under way comes to its end
+	})
+}
+
+// checkGuards judges applied commits: a leader's writes are guarded by its term
+// and by the records they change, an open job's by its own version; otherwise a
+// late copy could undo what came after it.
+func (c *cluster) checkGuards(txn *wire.Commit) {
+	guarded := map[string]bool{}
+	for _, g := range txn.Guards {
+		guarded[g.Key] = true
+	}
+	for _, ch := range txn.Changes {
+		key := ch.Set + ch.Delete
+		leaders := isRun(key) || strings.HasPrefix(key, "d/") || strings.HasPrefix(key, "r/") || key == "catalog"
+		if (leaders && !guarded["term"]) || (strings.HasPrefix(key, "o/") && !guarded[key]) {
+			c.t.Errorf("unguarded change of %s", key)
+		}
+	}
+}
+
+// isRun tells whether a key is of a piece of a run record.
+func isRun(key string) bool {
+	_, piece := ledger.SplitOpen(key)
+	return strings.HasPrefix(key, ledger.PrefixOpen) && piece != ledger.NoPiece
+}
+
+// boot starts a node, as a new process would.
+func (c *cluster) boot(name string) {
+	i := slices.Index(c.names, name)
+	cfg := &Config{Node: name, APIAddr: fmt.Sprintf("10.0.0.%d:80", i+1), Deployment: c.dep, Operator: config.DefaultOperator()}
+	cfg.Services.Cloud, cfg.Services.State = "cloud:1", "state:1"
+	for _, p := range c.names {
+		if p != name {
+			cfg.Peers = append(cfg.Peers, config.Peer{Node: p})
+		}
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	rt := c.net.From(ctx, name)
+	n, err := newNode(cfg, c.log.With("on", name), links{state: rt, cloud: rt, workers: rt,
+		peer: func(p config.Peer) (grpc.ClientConnInterface, error) { return &peerConn{c, name, p.Node}, nil }})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if c.previous[name] {
+		n.format = ledger.FormatWhole
+	}
+	n.start(ctx)
+	c.mu.Lock()
+	c.nodes[name], c.stops[name] = n, cancel
+	c.mu.Unlock()
+	c.net.Listen(name, cfg.APIAddr, n.api)
+}
+
+// kill ends a node without a word; what it has sent may still arrive.
+func (c *cluster) kill(name string) {
+	c.net.Listen(name, fmt.Sprintf("10.0.0.%d:80", slices.Index(c.names, name)+1), nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stops[name]()
+	delete(c.nodes, name)
+}
+
+// terms is the highest term that any node knows of.
+func (c *cluster) terms() (n uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, nd := range c.nodes {
+		t, _ := nd.Leader()
+		n = max(n, t.N)
+	}
+	return n
+}
+
+func (c *cluster) leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, n := range c.nodes {
+		if n.Leading() != nil {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *cluster) cut(a, b string, mode standin.Cut) func() {
+	mend := sync.OnceFunc(c.net.Cut(a, b, mode))
+	c.mends = append(c.mends, mend)
+	return mend
+}
+
+// isolate cuts a host off from all the others given.
+func (c *cluster) isolate(a string, mode standin.Cut, others ...string) func() {
+	var mends []func()
+	for _, b := range others {
+		mends = append(mends, c.cut(a, b, mode))
+	}
+	return func() {
+		for _, m := range mends {
+			m()
+		}
+	}
+}
+
+// leaveWorkers cuts a node off from the state service and all other nodes.
+func (c *cluster) leaveWorkers(name string) func() {
+	return c.isolate(name, standin.Hold, append(c.others(name), "state")...)
+}
+
+// peerConn carries gRPC calls between the nodes through the stand-in network.
+type peerConn struct {
+	c        *cluster
+	from, to string
+}
+
+func (p *peerConn) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
+	raw, err := wire.Marshal(args)
+	if err != nil {
+		return err
+	}
+	var out []byte
+	err = p.c.net.Call(ctx, p.from, p.to, func() {
+		p.c.mu.Lock()
+		n := p.c.nodes[p.to]
+		p.c.mu.Unlock()
+		for _, m := range peer.Service.Methods {
+			if n != nil && strings.HasSuffix(method, "/"+m.MethodName) {
+				if v, err := m.Handler(n, context.Background(), func(in any) error { return wire.Unmarshal(raw, in) }, nil); err == nil {
+					out, _ = wire.Marshal(v)
+				}
+			}
+		}
+	})
+	if err != nil || out == nil {
+		return status.Error(codes.Unavailable, "no answer")
+	}
+	return wire.Unmarshal(out, reply)
+}
+
+func (p *peerConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, status.Error(codes.Unimplemented, "no streams")
+}
+
+func sweep(n int, ref string, tasks int) wire.Job {
+	return wire.Job{ID: fmt.Sprintf("req-%06d", n), Class: ref, Team: "red", Shape: wire.Array, Rank: wire.Standard, Tasks: tasks,
+		Cores: 2, MemGB: 4, Image: "img-1", ImageGB: 1, Spot: true, EstimateS: 20}
+}
+
+func standing(n, tasks int) wire.Job {
+	j := sweep(n, "front", tasks)
+	j.Shape, j.Rank, j.Spread, j.Spot, j.EstimateS, j.Cores = wire.Service, wire.Production, true, false, 0, 1
+	return j
+}
+
+func gang(n, tasks int) wire.Job {
+	j := sweep(n, "train", tasks)
+	j.Shape, j.Rank, j.OneZone, j.Cards, j.Cores, j.CheckpointS, j.SaveS = wire.Gang, wire.High, true, 2, 4, 10, 2
+	return j
+}
+
+func (c *cluster) submit(j wire.Job, runS float64) {
+	c.t.Helper()
+	if st := c.w.Submit(j, runS); st != 200 && st != 201 {
+		c.t.Fatalf("%s: submission got %d", j.ID, st)
+	}
+	c.jobs = append(c.jobs, j.ID)
+}
+
+// until waits for a condition.
+func (c *cluster) until(what string, limit time.Duration, cond func() bool) {
+	c.t.Helper()
+	for start := time.Now(); !cond(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(start) > limit {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// untilElsewhere waits until all replicas of a service run, none of them on a machine.
+func (c *cluster) untilElsewhere(ref string, replicas int, machine string, limit time.Duration) {
+	c.t.Helper()
+	c.until("the replica runs elsewhere", limit, func() bool {
+		on := c.w.On(ref)
+		return len(on) == replicas && !slices.Contains(on, machine)
+	})
+}
+
+// known checks that each accepted job gets an answer within 75 s, however the
+// others fare, as the operators' rule says.
+func (c *cluster) known(refs ...string) {
+	c.t.Helper()
+	var wg sync.WaitGroup
+	for _, ref := range refs {
+		wg.Go(func() {
+			for start := time.Now(); ; time.Sleep(5 * time.Second) {
+				if st, _ := c.w.Poll(ref); st == 200 {
+					return
+				}
+				if time.Since(start) > 75*time.Second {
+					c.t.Errorf("%s is forgotten", ref)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (c *cluster) phase(ref string) string {
+	_, st := c.w.Poll(ref)
+	return st.Phase
+}
+
+func (c *cluster) untilDone(limit time.Duration, refs ...string) {
+	c.t.Helper()
+	for _, ref := range refs {
+		c.until(ref+" is done", limit, func() bool { time.Sleep(time.Second); return c.phase(ref) == wire.PhaseDone })
+	}
+}
+
+// pairs submits services of two replicas each and waits until all run; the result
+// lists the machines that they are on.
+func (c *cluster) pairs(n int) func() []string {
+	c.t.Helper()
+	refs := make([]string, n)
+	for i := range refs {
+		j := standing(1+i, 2)
+		refs[i] = j.ID
+		c.submit(j, 0)
+	}
+	on := func() (all []string) {
+		for _, ref := range refs {
+			all = append(all, c.w.On(ref)...)
+		}
+		return all
+	}
+	c.until("all run", 2*time.Minute, func() bool { return len(on()) == 2*n })
+	return on
+}
+
+// restartAll ends every controller; each is back at once.
+func (c *cluster) restartAll() {
+	for _, n := range c.names {
+		c.kill(n)
+		c.boot(n)
+	}
+}
+
+// seeds is how many seeds a scenario is played with, or more when asked for by
+// CHAOS_SEEDS.
+func seeds(least uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("CHAOS_SEEDS"), 10, 32); err == nil {
+		return max(least, n)
+	}
+	return least
+}
--- /dev/null
+++ b/internal/controller/authority.go
@@ -0,0 +1,134 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/pause"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// follow learns of new jobs and cancellations. Each return also proves that all
+// told before the call began are known here.
+func (c *Controller) follow(ctx context.Context, rev uint64) {
+	read := time.Now()
+	for ctx.Err() == nil {
+		start := time.Now()
+		ev, err := c.Store.Follow(ctx, ledger.PrefixOpen, rev, tuning.FollowHold)
+		switch {
+		case err == nil:
+			rev = ev.Revision
+			c.send(eventsMsg{ev.Events, start})
+		case errors.Is(err, statestore.ErrCompacted):
+		default:
+			pause.For(ctx, tuning.ElectionRetry)
+			continue
+		}
+		// All is read again now and then: an event that was lost would leave an
+		// accepted job waiting for ever, or a cancelled one running.
+		if err != nil || time.Since(read) > tuning.RereadEvery {
+			start := time.Now()
+			items, lerr := c.Store.ListAll(ctx, ledger.PrefixOpen)
+			if lerr != nil {
+				pause.For(ctx, tuning.ElectionRetry)
+				continue
+			}
+			read = time.Now()
+			m := eventsMsg{asOf: start}
+			for _, it := range items.Items {
+				m.events = append(m.events, wire.Event{Set: it.Key, Value: it.Value, Version: it.Version})
+			}
+			if err != nil {
+				rev = items.Revision
+			}
+			c.send(m)
+		}
+	}
+}
+
+// confirmTerm proves once a second that the term is still ours.
+func (c *Controller) confirmTerm(ctx context.Context) {
+	for pause.For(ctx, tuning.FollowHold) {
+		start := time.Now()
+		it, err := c.Store.Get(ctx, ledger.KeyTerm)
+		if err != nil {
+			continue
+		}
+		if it.Version != c.term.Stamp {
+			var t ledger.Term
+			if wire.Unmarshal(it.Value, &t) == nil {
+				c.OnTerm(t.N)
+			}
+			return
+		}
+		c.send(termMsg{start})
+	}
+}
+
+// confirmed is the time up to which the state service itself has proved that.
+func (c *Controller) confirmed() time.Time {
+	if c.asOfTerm.Before(c.asOfFollow) {
+		return c.asOfTerm
+	}
+	return c.asOfFollow
+}
+
+// authority is the time up to which no cancellation acknowledged to a user and no
+// newer term can be unknown here.
+func (c *Controller) authority() time.Time {
+	if at := c.confirmed(); at.After(c.asOfPeers) {
+		return at
+	}
+	return c.asOfPeers
+}
+
+// extendAuthority goes on where the state service gives no proof. The jobs that
+// users were told are cancelled since then are stopped here as if their events had
+// come; once all controllers, this one included, have named theirs up to some time,
+// nothing told before it is unknown. Nor is a newer term: whoever holds one knows it
+// before it counts anybody's lease as over, and has not answered yet.
+func (c *Controller) extendAuthority(now time.Time) {
+	since := c.confirmed()
+	if now.Sub(since) < tuning.StartAuthority || c.Acknowledged == nil {
+		return
+	}
+	asOf, refs, ok := c.Acknowledged(since)
+	if !ok {
+		return
+	}
+	for _, ref := range refs {
+		if j := c.jobs[ref]; j != nil && !j.cancelled {
+			j.recordBehind = true
+			c.cancelJob(j, now)
+		}
+	}
+	if asOf.After(c.asOfPeers) {
+		c.asOfPeers = asOf
+	}
+}
+
+// leaderLease is X: how long after its last proof of authority a leader may answer
+// reports, so that a machine kept alive by it still loses its tasks in time.
+func (c *Controller) leaderLease() time.Duration {
+	w := c.Config.Deployment.Workers
+	return max(0, seconds(w.CancelS-w.LeaseS)-tuning.LeaderLeaseMargin)
+}
+
+func (c *Controller) leaseFrom(t time.Time) time.Time {
+	return t.Add(seconds(c.Config.Deployment.Workers.LeaseS*(1+tuning.DriftShare)) + tuning.LeaseMargin)
+}
+
+func (c *Controller) onEvents(m eventsMsg, now time.Time) {
+	for _, e := range m.events {
+		if e.Set != "" {
+			if _, piece := ledger.SplitOpen(e.Set); piece == ledger.NoPiece {
+				c.setOpen(e.Set, e.Value, e.Version, now)
+			}
+		}
+	}
+	c.asOfFollow = m.asOf
+}
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -93,14 +93,14 @@
 	}
 }
 
-// What is done twice a second whatever happens, and all machines greeted at a
+// What is done twice a second whatever happens, and handshakes with all machines at a
 // takeover, but for the calls themselves.
 func BenchmarkTick(b *testing.B) {
 	for _, machines := range []int{1000, 2100} {
 		b.Run(fmt.Sprint(machines), func(b *testing.B) {
 			c, now := large(machines, 300+machines/10)
 			c.listing, c.catalogAt, c.hintAt = true, now.Add(time.Hour), now.Add(time.Hour)
-			c.greeting = tuning.GreetAtOnce
+			c.handshaking = tuning.HandshakesAtOnce
 			b.ReportAllocs()
 			for range b.N {
 				c.onTick(now)
--- /dev/null
+++ b/internal/controller/commands.go
@@ -0,0 +1,156 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// dispatch sends what is due to a machine directly.
+func (c *Controller) dispatch(m *fleet.Machine, now time.Time) {
+	if m.InFlight || !m.Up || m.Addr == "" || m.Session <= m.Lapsed {
+		return
+	}
+	var orders []wire.Order
+	starts := false
+	for _, p := range m.Live {
+		if p.Stopping && p.Sent && now.Sub(p.StopAt) < tuning.TickEvery {
+			orders = append(orders, wire.Order{Verb: wire.VerbStop, Task: taskName(p.Key), Attempt: p.Attempt, Grace: p.Grace})
+			p.StopAt = now.Add(-tuning.TickEvery) // the reports carry repeats
+		}
+	}
+	// Placed before an outage or a standstill, its job may be cancelled by now.
+	mayStart := now.Sub(c.confirmed()) < tuning.StartAuthority
+	waiting := m.Outbox[:0]
+	for _, p := range m.Outbox {
+		switch {
+		case m.Live[p.Key] != p || p.Sent:
+		case p.Stopping || p.Session != m.Session || m.Shown < c.token():
+			c.unplace(p, now) // never sent, so it can be taken back
+		case !mayStart:
+			waiting = append(waiting, p)
+		default:
+			m.Start(p)
+			starts = true
+			orders = append(orders, wire.Order{Verb: wire.VerbStart, Task: taskName(p.Key), Attempt: p.Attempt})
+		}
+	}
+	m.Outbox = waiting
+	if len(orders) > 0 {
+		c.do(m, orders, m.Session, starts, false)
+	}
+}
+
+// planHandshakes lists the machines that are due for a handshake: those not tried yet, of
+// these the ones with production work, then those with other work. After a
+// takeover that is the whole fleet, and one after another takes the processor's
+// time from what holds the leases.
+func (c *Controller) planHandshakes(now time.Time) {
+	type due struct {
+		m     *fleet.Machine
+		order int
+	}
+	var dues []due
+	for _, m := range c.sorted {
+		if !c.needsHandshake(m, now) {
+			continue
+		}
+		d := due{m, 2}
+		switch {
+		case c.production(m):
+			d.order = 0
+		case len(m.Live) > 0:
+			d.order = 1
+		}
+		if !m.HandshakeAt.IsZero() {
+			d.order += 3
+		}
+		dues = append(dues, d)
+	}
+	slices.SortStableFunc(dues, func(a, b due) int { return cmp.Compare(a.order, b.order) })
+	c.toHandshake = c.toHandshake[:0]
+	for _, d := range dues {
+		c.toHandshake = append(c.toHandshake, d.m)
+	}
+	c.nextHandshakes(now)
+}
+
+// nextHandshakes begins as many handshakes as may be under way at once.
+func (c *Controller) nextHandshakes(now time.Time) {
+	for len(c.toHandshake) > 0 && c.handshaking < tuning.HandshakesAtOnce {
+		m := c.toHandshake[0]
+		c.toHandshake = c.toHandshake[1:]
+		c.handshake(m, now)
+	}
+}
+
+// needsHandshake tells whether a machine runs and has not seen the term's token, or has said
+// nothing for a lease, after which what ran on it is gone if it is there at all.
+func (c *Controller) needsHandshake(m *fleet.Machine, now time.Time) bool {
+	return !m.InFlight && !m.Leaving && m.Addr != "" && !now.Before(m.HandshakeAt) &&
+		(m.Shown < c.token() || m.Up && now.Sub(m.LastReport) > seconds(c.Config.Deployment.Workers.LeaseS))
+}
+
+// handshake shows the term's token to a machine that runs but has not reported yet,
+// so that a new leader need not wait for its next report. A first call with the
+// wrong tenure is refused, and the refusal names the right one. A silent machine that
+// answers after a lease has begun a new session: it cannot report, but it is there.
+func (c *Controller) handshake(m *fleet.Machine, now time.Time) {
+	if !c.needsHandshake(m, now) {
+		return
+	}
+	m.HandshakeAt = now.Add(tuning.HandshakeEvery)
+	c.handshaking++
+	c.do(m, nil, lastSession(m), false, true)
+}
+
+// lastSession is the latest session of a machine that is known, from its reports or
+// from the records.
+func lastSession(m *fleet.Machine) uint64 {
+	session := max(m.Session, 1)
+	for _, p := range m.Live {
+		session = max(session, p.Session)
+	}
+	return session
+}
+
+func (c *Controller) do(m *fleet.Machine, orders []wire.Order, session uint64, starts, handshake bool) {
+	m.InFlight = true
+	if orders == nil {
+		orders = []wire.Order{}
+	}
+	req, addr := wire.DoRequest{Token: m.Token, Session: session, Orders: orders}, m.Addr
+	go func() {
+		rep, err := c.Worker.Do(c.ctx, addr, req)
+		c.send(doMsg{m, rep, starts, handshake, err})
+	}()
+}
+
+func (c *Controller) onDo(d doMsg, now time.Time) {
+	d.m.Answered(d.starts, d.err == nil)
+	if d.handshake {
+		c.handshaking--
+		defer c.nextHandshakes(now)
+	}
+	c.touched[d.m] = true
+	if d.err != nil {
+		// The commands may still be executed, even minutes later.
+		c.Log.Info("direct command unanswered", "machine", d.m.ID, "err", d.err)
+		return
+	}
+	if d.rep.Token>>tuning.TermShift > c.term.N {
+		c.OnTerm(d.rep.Token >> tuning.TermShift)
+		return
+	}
+	if d.rep.Machine == d.m.ID {
+		c.observe(d.m, d.rep, now)
+		if d.m.Shown < c.token() {
+			d.m.HandshakeAt = now // refused for its tenure, which is known now
+			c.handshake(d.m, now)
+		}
+	}
+}
--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -41,7 +41,7 @@
 	return slices.Clone(c.hosts)
 }
 
-// A new leader greets thousands of machines: not all at once, which would take
+// A new leader handshake thousands of machines: not all at once, which would take
 // the processor's time from the answers that hold their leases, and those with
 // production first.
 func TestGreetsAreBounded(t *testing.T) {
@@ -66,11 +66,11 @@
 				production[m.ID] = production[m.ID] || c.jobs[k.Job].rank() == 0
 			}
 		}
-		c.planGreets(now)
+		c.planHandshakes(now)
 		synctest.Wait()
 		first := w.seen()
-		if len(first) != tuning.GreetAtOnce {
-			t.Fatalf("%d greeted at once", len(first))
+		if len(first) != tuning.HandshakesAtOnce {
+			t.Fatalf("%d handshakes at once", len(first))
 		}
 		for _, id := range first {
 			if !production[id] {
@@ -78,16 +78,16 @@
 			}
 		}
 		// The first hang, and hold nothing up for longer than a command may take.
-		for len(c.toGreet) > 0 || c.greeting > 0 {
+		for len(c.toHandshake) > 0 || c.handshaking > 0 {
 			c.handle(<-c.inbox)
 		}
 		if n := len(w.seen()); n < 2100 {
-			t.Errorf("%d of 2100 were greeted", n)
+			t.Errorf("handshakes with %d of 2100", n)
 		}
-		c.planGreets(time.Now())
+		c.planHandshakes(time.Now())
 		synctest.Wait()
-		if c.greeting != tuning.GreetAtOnce {
-			t.Errorf("%d are greeted again", c.greeting)
+		if c.handshaking != tuning.HandshakesAtOnce {
+			t.Errorf("%d handshakes again", c.handshaking)
 		}
 	})
 }
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -62,7 +62,7 @@
 		}
 	}
 	c.dispatchAll(now)
-	c.planGreets(now)
+	c.planHandshakes(now)
 	c.returnNext(now)
 	// Slack is spent and idle machines age by time alone.
 	c.changed = true
--- a/internal/controller/rentals.go
+++ b/internal/controller/rentals.go
@@ -190,7 +190,7 @@
 		}
 	}
 	c.giveBack(failed, "failed", now)
-	c.planGreets(now)
+	c.planHandshakes(now)
 	for _, cl := range c.claims {
 		if !cl.settled || cl.drop {
 			continue
--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,170 @@
+package controller
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// machine finds a machine or makes one that is known by name only.
+func (c *Controller) machine(id string, now time.Time) *fleet.Machine {
+	m := c.machines[id]
+	if m == nil {
+		// An earlier leader may go on answering it for X, and then its lease
+		// runs: only after that its recorded tasks count as gone.
+		m = fleet.New(id, c.floor, now, c.leaseFrom(c.takeover.Add(c.leaderLease())))
+		c.machines[id] = m
+		i, _ := slices.BinarySearchFunc(c.sorted, id, func(m *fleet.Machine, id string) int { return strings.Compare(m.ID, id) })
+		c.sorted = slices.Insert(c.sorted, i, m)
+		c.changed = true
+	}
+	return m
+}
+
+// forget drops a machine that was given back.
+func (c *Controller) forget(m *fleet.Machine) {
+	delete(c.machines, m.ID)
+	delete(c.touched, m)
+	// Should a late report of it come when it is long forgotten, it must show a
+	// token that it cannot have seen, so that nothing is placed on it.
+	c.floor = max(c.floor, m.Token+1)
+	c.sorted = slices.DeleteFunc(c.sorted, func(o *fleet.Machine) bool { return o == m })
+	c.changed = true
+}
+
+func (c *Controller) onHello(r *wire.Report, now time.Time) *wire.HelloReply {
+	if r.Token>>tuning.TermShift > c.term.N {
+		c.Log.Info("a worker has seen a newer term", "machine", r.Machine)
+		c.OnTerm(r.Token >> tuning.TermShift)
+		return nil
+	}
+	if now.Sub(c.authority()) > c.leaderLease() {
+		return nil
+	}
+	if _, ok := c.gone[r.Machine]; ok {
+		return &wire.HelloReply{Token: c.token(), Orders: []wire.Order{}}
+	}
+	m := c.machine(r.Machine, now)
+	if !m.Heard(r) && !m.Again(r) {
+		// A late copy: nobody takes its answer, so it renews no lease, and what
+		// it says is as old as it is. Or a worker that began anew, which shows
+		// by the token in this answer that it is there.
+		return &wire.HelloReply{Token: m.Token, Orders: []wire.Order{}}
+	}
+	m.LastHello = now
+	c.observe(m, r, now)
+	if until := c.leaseFrom(now); m.Shown >= c.token() || until.After(m.LeaseEnd) {
+		m.LeaseEnd = until
+	}
+	m.Answer()
+	return &wire.HelloReply{Token: m.Token, Orders: c.orders(m)}
+}
+
+// observe takes in a report from /hello or from a direct command's answer.
+func (c *Controller) observe(m *fleet.Machine, r *wire.Report, now time.Time) {
+	wasUp := m.Up
+	ended, fresh := m.Observe(r, parseTask, now, c.leaseFrom(now))
+	if !fresh {
+		return
+	}
+	if usable := m.Usable(now, c.silence()); usable != m.WasUsable {
+		m.WasUsable, c.changed = usable, true
+	}
+	if !wasUp {
+		m.IdleSince, m.CardsIdle = now, now
+		c.takeHint(m)
+		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
+	}
+	c.end(ended, now)
+	if c.Log.Enabled(c.ctx, slog.LevelDebug) {
+		for k, p := range m.Live {
+			if j := c.jobs[k.Job]; j != nil && p.State == wire.TaskRunning && p.Since.Equal(now) {
+				c.Log.Debug("task running", "task", taskName(k), "class", j.desc.Class, "machine", m.ID, "age", now.Sub(j.at))
+			}
+		}
+	}
+}
+
+// orders are the stops and reaps due at a machine. Both may be repeated.
+func (c *Controller) orders(m *fleet.Machine) []wire.Order {
+	out := []wire.Order{}
+	for i := range m.Reported {
+		t := &m.Reported[i]
+		k, ok := t.Of, t.OK
+		p := m.Live[k]
+		j := c.jobs[k.Job]
+		switch {
+		case t.State == wire.TaskExited:
+			// Reaping earlier could make the worker run it again: a start
+			// still under way, or a completion that is not recorded yet.
+			if m.MayReap(k, t.Attempt) && !(j != nil && j.pendingDone[k.Task]) && (p == nil || p.Attempt != t.Attempt) {
+				out = append(out, wire.Order{Verb: wire.VerbForget, Task: t.Task, Attempt: t.Attempt})
+			}
+		case !ok || p == nil || p.Attempt != t.Attempt:
+			if m.Shown >= c.token() {
+				out = append(out, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt})
+			}
+		case p.Stopping && (t.State != wire.TaskSaving || p.Grace == 0):
+			out = append(out, wire.Order{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, Grace: p.Grace})
+		}
+	}
+	return out
+}
+
+// end draws the conclusions from placements that are over.
+func (c *Controller) end(ended []fleet.Ended, now time.Time) {
+	for _, e := range ended {
+		c.changed = true
+		p := e.Placement
+		p.Machine.Drop(p, now)
+		j := c.jobs[p.Job]
+		if j != nil && j.desc.Cards > 0 {
+			p.Machine.CardsIdle = now
+		}
+		if j == nil || j.live[p.Task] != p {
+			continue
+		}
+		delete(j.live, p.Task)
+		if e.Cause == wire.CauseDone {
+			if p.State == wire.TaskRunning {
+				c.est.done(&j.desc, now.Sub(p.Since).Seconds())
+			}
+			j.done.Add(p.Task)
+			j.nDone++
+			j.pendingDone[p.Task] = true
+			j.errors = 0
+			c.markDirty(j, p.Task, false, now)
+		} else {
+			j.giveBack(p.Task)
+			if p.Recorded {
+				// The next leader would leave it its time to end all over again.
+				c.markDirty(j, p.Task, false, now)
+			}
+			if e.Cause != wire.CauseStopped && !j.cancelled {
+				c.Log.Info("task ended", "task", taskName(p.Key), "try", p.Attempt, "machine", p.Machine.ID, "cause", e.Cause)
+			}
+			switch e.Cause {
+			case wire.CauseError:
+				j.errors++
+				pause := tuning.ErrorBackoff << min(j.errors-1, 10)
+				j.restUntil = now.Add(min(pause, tuning.ErrorBackoffMax))
+				p.Machine.Failed(j.ref)
+			case wire.CauseNoRoom, wire.CauseBusy:
+				p.Machine.RestUntil = now.Add(tuning.MachineBackoff)
+			case wire.CauseUnknown:
+				j.restUntil = now.Add(tuning.MachineBackoff)
+			}
+			if j.gang() {
+				// The gang has lost a member: the rest cannot go on.
+				for _, q := range j.live {
+					c.stop(q, 0, now)
+				}
+			}
+		}
+	}
+}
--- a/internal/controller/runrecord.go
+++ b/internal/controller/runrecord.go
@@ -105,11 +105,13 @@
 	p.urgent = p.urgent || urgent
 }
 
-// markDirty notes that the record of a task lags behind. Until the whole cluster
-// reads pieces, the first one holds the whole job.
+// markDirty notes that the record of a task lags behind. The first piece holds the
+// whole job until the whole cluster reads pieces, and where the whole surely fits in
+// a value: each piece that changes is a write.
 func (c *Controller) markDirty(j *job, task int, urgent bool, now time.Time) {
 	number := ledger.Piece(task)
-	if c.format < ledger.FormatPieces && !j.written(number) {
+	undivided := c.format < ledger.FormatPieces || j.desc.Tasks*tuning.RecordEntryBytes <= c.Store.ValueBytes()
+	if undivided && !j.written(number) {
 		number = 0
 	}
 	j.piece(number).mark(urgent, now)
--- a/internal/controller/runrecord_test.go
+++ b/internal/controller/runrecord_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"marblehaven/internal/config"
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/statestore"
@@ -44,6 +45,7 @@
 		tasks := 1 + rng.IntN(200)
 		j := newJob("req-1", &ledger.OpenJob{Job: wire.Job{ID: "req-1", Shape: wire.Array, Tasks: tasks}}, 1, time.Now())
 		c := &Controller{format: ledger.FormatWhole}
+		c.Store = statestore.New("state:1", &calls{}, nil, config.State{StateLimits: config.StateLimits{ValueKB: float64(1 + rng.IntN(8))}})
 		machine := &fleet.Machine{ID: "m-000001"}
 		stored := map[int]ledger.Run{}
 		model := make([]taskState, tasks)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,7 +60,7 @@
 	IdleSince    time.Time
 	CardsIdle    time.Time // since when no card has been in use
 	RestUntil    time.Time
-	GreetAt      time.Time // not to be greeted before
+	HandshakeAt  time.Time // no handshake before
 	Up           bool      // has reported
 	Leaving      bool      // is being given back
 	InFlight     bool      // a direct command is under way
--- /dev/null
+++ b/internal/sched/fit.go
@@ -0,0 +1,120 @@
+package sched
+
+import (
+	"math"
+	"slices"
+
+	"marblehaven/internal/wire"
+)
+
+// cardless tells for a job whether it must keep off machines with cards: work
+// without need of cards would keep dear machines from the work that needs them.
+func cardless(s *Snapshot, j *Job) bool {
+	if j.Need.Cards > 0 {
+		return false
+	}
+	for i := range s.Types {
+		if s.Types[i].Total.Cards == 0 && TypeFits(&s.Types[i], j.Desc) {
+			return true
+		}
+	}
+	return false
+}
+
+// TypeFits tells whether a task of the job can run on an empty machine of the
+// type in some zone that the job allows.
+func TypeFits(t *Type, j *wire.Job) bool {
+	return (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) &&
+		(j.Zone == "" || slices.Contains(t.Zones, j.Zone)) && t.Total.Slots(Need(j)) > 0
+}
+
+// ZoneRoom is how many more tasks of the job may be in the zone.
+func ZoneRoom(d *wire.Job, zoneLive map[string]int, zone string) int {
+	if d.Zone != "" && d.Zone != zone {
+		return 0
+	}
+	if d.OneZone {
+		for z, n := range zoneLive {
+			if n > 0 && z != zone {
+				return 0
+			}
+		}
+	}
+	if d.Spread {
+		// A task on a machine whose zone is not known yet, as after a takeover,
+		// may be in any.
+		return max(0, (d.Tasks+1)/2-zoneLive[zone]-zoneLive[""])
+	}
+	return d.Tasks
+}
+
+func bootOf(s *Snapshot, j *Job) float64 {
+	best, boot := math.Inf(1), 0.0
+	for i := range s.Types {
+		t := &s.Types[i]
+		if TypeFits(t, j.Desc) && t.Price < best {
+			best, boot = t.Price, t.BootS+fetchS(t, j.Desc)
+		}
+	}
+	return boot
+}
+
+func fetchS(t *Type, d *wire.Job) float64 {
+	if t.FetchGBps <= 0 {
+		return 0
+	}
+	return d.ImageGB / t.FetchGBps
+}
+
+func (p *planner) allowed(m *Machine, d *wire.Job) bool {
+	return (len(d.Types) == 0 || slices.Contains(d.Types, p.s.Types[m.Type].Name)) && (!m.Spot || d.Spot)
+}
+
+// eligible tells whether tasks of the job may be on the machine, where those it
+// has are in the given zones and need a machine of their own.
+func (p *planner) eligible(m *Machine, d *wire.Job, zones map[string]int, keepOff bool) bool {
+	return p.allowed(m, d) && ZoneRoom(d, zones, m.Zone) > 0 && !(keepOff && p.s.Types[m.Type].Total.Cards > 0)
+}
+
+// room is how many tasks of the job the machine takes now. Work that does not
+// need cards gets on a machine with cards what its card work leaves over; where
+// no card is in use it gets all, if it ranks below the work with cards and can
+// be stopped for it. Only work that ends by itself may go there, and none once
+// the machine is to be given back: it must not keep a dear machine.
+func (p *planner) room(m *Machine, j *Job, keepOff bool) int {
+	t := &p.s.Types[m.Type]
+	if keepOff && t.Total.Cards > 0 {
+		switch {
+		case j.Desc.Shape == wire.Service:
+			return 0
+		case p.cardWork(m):
+			if r := p.s.CardNeed; r.Cards > 0 && m.Free.Slots(r) > 0 {
+				return m.Free.Sub(r, 1).Slots(j.Need)
+			}
+		case p.cardWaits || j.Rank <= p.cardRank() || j.Desc.Shape == wire.Gang ||
+			m.CardIdleS >= p.s.giveBack(m):
+			return 0
+		}
+	}
+	return m.Free.Slots(j.Need)
+}
+
+// cardRank is the rank that work on an idle machine with cards must be below.
+// As long as no work with cards has been seen, as after a takeover, only the
+// lowest rank is certain to be stopped for it.
+func (p *planner) cardRank() int {
+	if p.s.CardRank < 0 {
+		return LowestRank - 1
+	}
+	return p.s.CardRank
+}
+
+// cardWork tells whether work with cards is on the machine.
+func (p *planner) cardWork(m *Machine) bool {
+	for _, r := range m.Tasks {
+		if p.s.Jobs[r.Job].Need.Cards > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -176,9 +176,9 @@
 
 	// DoTimeout ends a direct command. Workers answer at once unless they hang.
 	DoTimeout = 2 * time.Second
-	// GreetEvery is the pause between attempts to reach a machine that has not
+	// HandshakeEvery is the pause between attempts to reach a machine that has not
 	// seen the term's token; its own report comes within a few seconds anyway.
-	GreetEvery = 2 * time.Second
+	HandshakeEvery = 2 * time.Second
 	// WorkerRetry is what a worker takes to find out that a node does not answer
 	// and to try another: PROTOCOL's 4 s and 1 s.
 	WorkerRetry = 5 * time.Second
@@ -323,11 +323,11 @@
 	SocketsCommands = 0.2
 	// SocketsLeast is the least that must be left for connections made to us.
 	SocketsLeast = 32
-	// GreetAtOnce is how many machines are greeted at the same time after a
+	// HandshakesAtOnce is how many handshakes are under way at the same time after a
 	// takeover, production's first: all at once would keep the processor from
 	// the answers that hold their leases.
 	// One that hangs holds its place for DoTimeout.
-	GreetAtOnce = 128
+	HandshakesAtOnce = 128
 	// MemoryShare is the part of the memory limit given to the Go runtime.
 	MemoryShare = 0.75
 	// MemoryLeastMB is the least memory to serve with, in MB: the program and the
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -54,186 +54,228 @@
 	return true
 }
 
+// fieldKind says what a submission's field must hold. Only the kinds from
+// optionalTypes on may be missing or null.
+type fieldKind int
+
 const (
-	needString = iota
-	needCount
-	needAmount
-	needBool
-	maybeTypes
-	maybeIDs
-	maybeString
-	maybeAmount
+	requiredText fieldKind = iota
+	requiredCount
+	requiredAmount
+	requiredBool
+	optionalTypes
+	optionalIDs
+	optionalText
+	optionalAmount
 )
 
-var jobFields = map[string]int{
-	"ref": needString, "workload": needString, "owner": needString, "shape": needString,
-	"rank": needString, "pieces": needCount, "cores": needAmount, "cards": needAmount,
-	"memGb": needAmount, "bundle": needString, "imageGb": needAmount, "flavors": maybeTypes,
-	"quarry": maybeString, "samePlace": needBool, "spread": needBool, "loaners": needBool,
-	"guessS": needAmount, "snapshotS": needAmount, "flushS": needAmount, "dueS": maybeAmount,
-	"awaits": maybeIDs,
+func (k fieldKind) required() bool { return k < optionalTypes }
+
+var jobFields = map[string]fieldKind{
+	"ref": requiredText, "workload": requiredText, "owner": requiredText, "shape": requiredText,
+	"rank": requiredText, "pieces": requiredCount, "cores": requiredAmount, "cards": requiredAmount,
+	"memGb": requiredAmount, "bundle": requiredText, "imageGb": requiredAmount, "flavors": optionalTypes,
+	"quarry": optionalText, "samePlace": requiredBool, "spread": requiredBool, "loaners": requiredBool,
+	"guessS": requiredAmount, "snapshotS": requiredAmount, "flushS": requiredAmount, "dueS": optionalAmount,
+	"awaits": optionalIDs,
 }
 
 // DecodeJob reads a submission and refuses everything that PROTOCOL calls
 // malformed. It walks the map by hand: a generic decode would trust lengths
 // claimed in the body, and struct decoding lets mistyped fields through.
 func DecodeJob(body []byte) (*Job, error) {
-	d := msgpack.NewDecoder(bytes.NewReader(body))
-	c, err := d.PeekCode()
+	r := newJobReader(body)
+	if err := r.readAll(); err != nil {
+		return nil, err
+	}
+	job := r.job()
+	if err := job.check(); err != nil {
+		return nil, err
+	}
+	return job, nil
+}
+
+// jobReader reads a submission field by field.
+type jobReader struct {
+	d       *msgpack.Decoder
+	texts   map[string]string
+	amounts map[string]float64
+	bools   map[string]bool
+	lists   map[string][]string
+	tasks   int
+	seen    map[string]bool
+}
+
+func newJobReader(body []byte) *jobReader {
+	return &jobReader{d: msgpack.NewDecoder(bytes.NewReader(body)), texts: map[string]string{}, amounts: map[string]float64{},
+		bools: map[string]bool{}, lists: map[string][]string{}, seen: map[string]bool{}}
+}
+
+func (r *jobReader) readAll() error {
+	c, err := r.d.PeekCode()
 	if err != nil || !(msgpcode.IsFixedMap(c) || c == msgpcode.Map16 || c == msgpcode.Map32) {
-		return nil, errors.New("not a map")
+		return errors.New("not a map")
 	}
-	n, err := d.DecodeMapLen()
+	n, err := r.d.DecodeMapLen()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var (
-		job  Job
-		strs = map[string]string{}
-		nums = map[string]float64{}
-		seen = map[string]bool{}
-	)
-	bools := map[string]*bool{"samePlace": &job.OneZone, "spread": &job.Spread, "loaners": &job.Spot}
-	for i := 0; i < n; i++ {
-		c, err := d.PeekCode()
-		if err != nil {
-			return nil, err
-		}
-		if !msgpcode.IsString(c) {
-			return nil, errors.New("key is not text")
-		}
-		key, err := d.DecodeString()
-		if err != nil {
-			return nil, err
+	for range n {
+		if err := r.readField(); err != nil {
+			return err
 		}
-		kind, known := jobFields[key]
-		if !known {
-			if err := d.Skip(); err != nil {
-				return nil, err
-			}
-			continue
-		}
-		if seen[key] {
-			return nil, fmt.Errorf("field %s occurs twice", key)
-		}
-		if c, err = d.PeekCode(); err != nil {
-			return nil, err
+	}
+	if _, err := r.d.PeekCode(); err != io.EOF {
+		return errors.New("trailing bytes")
+	}
+	for key, kind := range jobFields {
+		if kind.required() && !r.seen[key] {
+			return fmt.Errorf("field %s is missing", key)
 		}
-		if c == msgpcode.Nil {
-			if kind < maybeTypes {
-				return nil, fmt.Errorf("field %s is null", key)
-			}
-			if err := d.DecodeNil(); err != nil {
-				return nil, err
-			}
-			continue
+	}
+	return nil
+}
+
+// readField reads a key with its value; unknown ones are passed over.
+func (r *jobReader) readField() error {
+	c, err := r.d.PeekCode()
+	if err != nil {
+		return err
+	}
+	if !msgpcode.IsString(c) {
+		return errors.New("key is not text")
+	}
+	key, err := r.d.DecodeString()
+	if err != nil {
+		return err
+	}
+	kind, known := jobFields[key]
+	if !known {
+		return r.d.Skip()
+	}
+	if r.seen[key] {
+		return fmt.Errorf("field %s occurs twice", key)
+	}
+	if c, err = r.d.PeekCode(); err != nil {
+		return err
+	}
+	if c == msgpcode.Nil {
+		if kind.required() {
+			return fmt.Errorf("field %s is null", key)
 		}
-		seen[key] = true
-		isInt := msgpcode.IsFixedNum(c) || (c >= msgpcode.Uint8 && c <= msgpcode.Int64)
-		ok := false
-		switch kind {
-		case needString, maybeString:
-			if ok = msgpcode.IsString(c); ok {
-				var s string
-				s, err = d.DecodeString()
-				ok = s != "" && len(s) <= tuning.MaxName
-				strs[key] = s
-			}
-		case needCount:
-			if ok = isInt; ok {
-				var v int64
-				v, err = d.DecodeInt64()
-				ok = v >= 1 && v <= tuning.MaxPieces
-				job.Tasks = int(v)
-			}
-		case needAmount, maybeAmount:
-			if ok = isInt || c == msgpcode.Float || c == msgpcode.Double; ok {
-				var v float64
-				v, err = d.DecodeFloat64()
-				ok = v >= 0 && !math.IsInf(v, 0) // false for NaN as well
-				nums[key] = v
-			}
-		case needBool:
-			if ok = c == msgpcode.True || c == msgpcode.False; ok {
-				*bools[key], err = d.DecodeBool()
-			}
-		case maybeTypes:
-			ok, err = decodeStrings(d, c, &job.Types)
-			ok = ok && len(job.Types) > 0
-		case maybeIDs:
-			ok, err = decodeStrings(d, c, &job.Awaits)
+		return r.d.DecodeNil()
+	}
+	r.seen[key] = true
+	ok, err := r.readValue(key, kind, c)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return fmt.Errorf("field %s is invalid", key)
+	}
+	return nil
+}
+
+// readValue reads a value that begins with the code c; ok is false if the field
+// may not hold it.
+func (r *jobReader) readValue(key string, kind fieldKind, c byte) (ok bool, err error) {
+	isInt := msgpcode.IsFixedNum(c) || (c >= msgpcode.Uint8 && c <= msgpcode.Int64)
+	switch kind {
+	case requiredText, optionalText:
+		if !msgpcode.IsString(c) {
+			return false, nil
 		}
-		if err != nil {
-			return nil, err
+		s, err := r.d.DecodeString()
+		r.texts[key] = s
+		return s != "" && len(s) <= tuning.MaxName, err
+	case requiredCount:
+		if !isInt {
+			return false, nil
 		}
-		if !ok {
-			return nil, fmt.Errorf("field %s is invalid", key)
+		v, err := r.d.DecodeInt64()
+		r.tasks = int(v)
+		return v >= 1 && v <= tuning.MaxPieces, err
+	case requiredAmount, optionalAmount:
+		if !isInt && c != msgpcode.Float && c != msgpcode.Double {
+			return false, nil
 		}
-	}
-	if _, err := d.PeekCode(); err != io.EOF {
-		return nil, errors.New("trailing bytes")
-	}
-	for key, kind := range jobFields {
-		if kind < maybeTypes && !seen[key] {
-			return nil, fmt.Errorf("field %s is missing", key)
+		v, err := r.d.DecodeFloat64()
+		r.amounts[key] = v
+		return v >= 0 && !math.IsInf(v, 0), err // false for NaN as well
+	case requiredBool:
+		if c != msgpcode.True && c != msgpcode.False {
+			return false, nil
 		}
+		r.bools[key], err = r.d.DecodeBool()
+		return true, err
 	}
-	job.ID, job.Class, job.Team, job.Shape = strs["ref"], strs["workload"], strs["owner"], strs["shape"]
-	job.Rank, job.Image, job.Zone = strs["rank"], strs["bundle"], strs["quarry"]
-	job.Cores, job.Cards, job.MemGB, job.ImageGB = nums["cores"], nums["cards"], nums["memGb"], nums["imageGb"]
-	job.EstimateS, job.CheckpointS, job.SaveS, job.DeadlineS = nums["guessS"], nums["snapshotS"], nums["flushS"], nums["dueS"]
-	if err := checkDependencies(&job); err != nil {
-		return nil, err
+	list, ok, err := decodeStrings(r.d, c)
+	r.lists[key] = list
+	return ok && (kind != optionalTypes || len(list) > 0), err
+}
+
+func (r *jobReader) job() *Job {
+	return &Job{
+		ID: r.texts["ref"], Class: r.texts["workload"], Team: r.texts["owner"], Shape: r.texts["shape"], Rank: r.texts["rank"],
+		Tasks: r.tasks, Cores: r.amounts["cores"], Cards: r.amounts["cards"], MemGB: r.amounts["memGb"],
+		Image: r.texts["bundle"], ImageGB: r.amounts["imageGb"], Types: r.lists["flavors"], Zone: r.texts["quarry"],
+		OneZone: r.bools["samePlace"], Spread: r.bools["spread"], Spot: r.bools["loaners"],
+		EstimateS: r.amounts["guessS"], CheckpointS: r.amounts["snapshotS"], SaveS: r.amounts["flushS"],
+		DeadlineS: r.amounts["dueS"], Awaits: r.lists["awaits"],
 	}
+}
+
+// check refuses values that no job can have.
+func (j *Job) check() error {
 	switch {
-	case !ValidID(job.ID):
-		return nil, errors.New("field ref is malformed")
-	case !slices.Contains([]string{Array, Gang, Service}, job.Shape):
-		return nil, errors.New("unknown shape")
-	case !slices.Contains([]string{Production, High, Standard, Idle}, job.Rank):
-		return nil, errors.New("unknown rank")
-	}
-	return &job, nil
+	case !ValidID(j.ID):
+		return errors.New("field ref is malformed")
+	case !slices.Contains([]string{Array, Gang, Service}, j.Shape):
+		return errors.New("unknown shape")
+	case !slices.Contains([]string{Production, High, Standard, Idle}, j.Rank):
+		return errors.New("unknown rank")
+	}
+	return j.checkDependencies()
 }
 
-// checkDependencies checks the ids of the jobs that a job waits for, and drops
+// checkDependencies checks the ids of the jobs that the job waits for, and drops
 // repeated ones.
-func checkDependencies(job *Job) error {
-	for _, ref := range job.Awaits {
+func (j *Job) checkDependencies() error {
+	for _, ref := range j.Awaits {
 		switch {
 		case !ValidID(ref):
 			return errors.New("field awaits names no job")
-		case ref == job.ID:
+		case ref == j.ID:
 			return errors.New("field awaits names the job itself")
 		}
 	}
-	slices.Sort(job.Awaits)
-	job.Awaits = slices.Compact(job.Awaits)
-	if len(job.Awaits) > tuning.DependenciesMost {
+	slices.Sort(j.Awaits)
+	j.Awaits = slices.Compact(j.Awaits)
+	if len(j.Awaits) > tuning.DependenciesMost {
 		return fmt.Errorf("field awaits names more than %d jobs", tuning.DependenciesMost)
 	}
 	return nil
 }
 
 // decodeStrings reads a list of names that are not empty.
-func decodeStrings(d *msgpack.Decoder, c byte, into *[]string) (bool, error) {
+func decodeStrings(d *msgpack.Decoder, c byte) (list []string, ok bool, err error) {
 	if !(msgpcode.IsFixedArray(c) || c == msgpcode.Array16 || c == msgpcode.Array32) {
-		return false, nil
+		return nil, false, nil
 	}
 	n, err := d.DecodeArrayLen()
 	if err != nil {
-		return false, err
+		return nil, false, err
 	}
-	for i := 0; i < n; i++ {
+	for range n {
 		c, err := d.PeekCode()
 		if err != nil || !msgpcode.IsString(c) {
-			return false, err
+			return nil, false, err
 		}
 		s, err := d.DecodeString()
 		if err != nil || s == "" || len(s) > tuning.MaxName {
-			return false, err
+			return nil, false, err
 		}
-		*into = append(*into, s)
+		list = append(list, s)
 	}
-	return true, nil
+	return list, true, nil
 }
