Judge no job as left waiting whose chain is cancelled after its last task

The failure of the run before was the stand-ins' check: a job that another needs may be done with its last task when its user cancels it and is told so; what waits for it is then cancelled rightly.

--- a/internal/standin/dependencies.go
+++ b/internal/standin/dependencies.go
@@ -44,6 +44,17 @@
 	return true
 }
 
+// mustStart tells whether a job may start and nothing has cancelled it: one that it
+// needs may be cancelled after its last task is done and before that is recorded.
+func (w *World) mustStart(u *userJob) bool {
+	for _, d := range w.needed(u) {
+		if d.cancelAsked && !d.done {
+			return false
+		}
+	}
+	return !u.cancelAsked && w.mayStart(u)
+}
+
 // cancelledBefore tells whether a user has asked to cancel a job that this one
 // needs, and since when one was told that it is; zero: none was.
 func (w *World) cancelledBefore(u *userJob) (asked bool, told time.Time) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -499,7 +499,7 @@
 		return
 	}
 	for _, u := range w.jobs {
-		if !u.accepted || u.cancelAsked || u.job.Shape == wire.Gang || !w.mayStart(u) || !w.roomFor(u) {
+		if !u.accepted || u.job.Shape == wire.Gang || !w.mustStart(u) || !w.roomFor(u) {
 			u.besideRoom = time.Time{}
 			continue
 		}
