--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -256,11 +257,28 @@
 		if c.uses(ledger.FormatPieces)() {
 			t.Error("the cluster uses the new format")
 		}
+		c.untilShown("version 1 of its records", "<td>marble-1</td><td>2</td>", "<td>marble-2</td><td>1</td>")
 		c.restartAs(false, nodeNames[2]) // it writes its record anew
 		c.until("the cluster uses the new format", 30*time.Second, c.uses(ledger.FormatPieces))
+		c.untilShown("version 2 of its records", "<td>marble-1</td><td>2</td>", "<td>marble-2</td><td>2</td>")
 	})
 }
 
+// untilShown waits until the status page of every node holds some texts.
+func (c *cluster) untilShown(texts ...string) {
+	c.t.Helper()
+	for _, name := range c.names {
+		c.until(name+" shows "+texts[0], 20*time.Second, func() bool {
+			rec := httptest.NewRecorder()
+			c.mu.Lock()
+			n := c.nodes[name]
+			c.mu.Unlock()
+			n.api.ServeHTTP(rec, httptest.NewRequest("GET", "/", nil))
+			return !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(rec.Body.String(), text) })
+		})
+	}
+}
+
 // Of jobs that were accepted under larger limits, those with long records too can be
 // cancelled and are closed.
 func TestCancelLargeRecord(t *testing.T) {
