--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -6,14 +6,14 @@
 	"slices"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/pause"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // batch is one commit under way and what it means once applied.
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -101,7 +101,8 @@
 	}
 	var refs []string
 	for ref := range c.dependents {
-		if c.jobs[ref] == nil && len(refs) < tuning.LookupsAtOnce {
+		_, known := c.outcomes[ref]
+		if !known && c.jobs[ref] == nil && len(refs) < tuning.LookupsAtOnce {
 			refs = append(refs, ref)
 		}
 	}
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -185,7 +185,7 @@
 	// A job that waits for others holds no part of its team's guarantee.
 	if !j.cancelled && len(j.waitsFor) == 0 {
 		demand[team] = demand[team].Sub(need, -left)
-		guaranteed = withinGuarantee(need, demand[team], b.snapGuarantee(team))
+		guaranteed = withinGuarantee(need, demand[team], b.guarantee(team))
 	}
 	sj := sched.Job{Ref: j.ref, Desc: &j.desc, Need: need, Rank: chained.Rank, Guaranteed: guaranteed, EstimateS: chained.EstimateS,
 		Waiting: j.waiting(), Live: len(j.live), Team: team, Resting: b.now.Before(j.restUntil), Counts: 1}
@@ -214,8 +214,8 @@
 	b.snap.Jobs = append(b.snap.Jobs, sj)
 }
 
-// snapGuarantee is what a team is guaranteed.
-func (b *snapshotter) snapGuarantee(team int) sched.Res {
+// guarantee is what a team is guaranteed.
+func (b *snapshotter) guarantee(team int) sched.Res {
 	t := b.Config.Deployment.Teams[team]
 	return sched.Res{Cores: t.Cores, Cards: t.Cards}
 }
