Hold a job that missed its deadline to the multiple of it that the aims name

Cause: objectives of kind deadline with times above 1 were not read, so a job that had missed its deadline was due in the past and gone behind those that could be in time.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,7 +36,10 @@
 	Kind    string  `json:"kind"`
 	Class   string  `json:"class"`
 	WithinS float64 `json:"within_s"`
-	Share   float64 `json:"share"`
+	// Times is the multiple of its deadline by which a job should be complete, for
+	// aims of kind "deadline".
+	Times float64 `json:"times"`
+	Share float64 `json:"share"`
 }
 
 // Workers says how workers behave, in seconds.
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -48,19 +48,25 @@
 // deadlines lists the job's own deadline and what the objectives ask for it.
 func (c *Controller) deadlines(j *job, est float64, guaranteed bool) []deadline {
 	var dues []deadline
-	if j.desc.DeadlineS > 0 {
-		// It counts from the submission, however long the job has waited for others.
-		dues = append(dues, deadline{j.desc.DeadlineS - j.readyAt.Sub(j.at).Seconds(), false})
+	due := j.desc.DeadlineS > 0
+	// It counts from the submission, however long the job has waited for others.
+	waited := j.readyAt.Sub(j.at).Seconds()
+	if due {
+		dues = append(dues, deadline{j.desc.DeadlineS - waited, false})
 	}
+	begun := len(j.live) > 0
 	for _, o := range c.Config.Deployment.Objectives {
-		if o.WithinS <= 0 || (o.Class != j.desc.Class && o.Kind != "guarantee") {
-			continue
-		}
+		ofClass := o.Class == j.desc.Class
 		switch {
-		case o.Kind == "finished":
+		case o.Kind == "deadline" && ofClass && due && o.Times > 1:
+			dues = append(dues, deadline{o.Times*j.desc.DeadlineS - waited, false})
+		case o.WithinS <= 0:
+		case o.Kind == "finished" && ofClass:
 			dues = append(dues, deadline{o.WithinS, false})
-		case o.Kind == "wait" && len(j.live) == 0, o.Kind == "guarantee" && guaranteed && len(j.live) == 0:
-			dues = append(dues, deadline{o.WithinS + est, o.Kind == "wait"})
+		case o.Kind == "wait" && ofClass && !begun:
+			dues = append(dues, deadline{o.WithinS + est, true})
+		case o.Kind == "guarantee" && guaranteed && !begun:
+			dues = append(dues, deadline{o.WithinS + est, false})
 		}
 	}
 	return dues
