--- a/meetings_test.go
+++ b/compound_test.go
@@ -319,9 +319,9 @@
 // may still begin: a direct command in flight, then the fetch of its image.
 const startsUntil = 8 * time.Second
 
-// Two troubles at once, one case for each meeting on the operators' page that no
+// Two failures at once, one case for each pair that the operators expect and that no
 // other scenario brings about; docs/compound-failures.md names them all.
-func TestMeetings(t *testing.T) {
+func TestCompoundFailures(t *testing.T) {
 	for _, tc := range []struct {
 		name string
 		play func(c *cluster, seed uint64)
