Say in one place of the tests what a further piece and an upgraded cluster are

Three tests took keys of pieces apart, nine waited for the cluster version by the same words, and ids of jobs were spelled by way of a job.

--- a/cluster_test.go
+++ b/cluster_test.go
@@ -126,6 +126,13 @@
 	return strings.HasPrefix(key, ledger.PrefixOpen) && piece != ledger.NoPiece
 }
 
+// isFurtherPiece tells whether a key is of a piece beyond the first, which the previous
+// version of the formats does not know.
+func isFurtherPiece(key string) bool {
+	_, piece := ledger.SplitOpen(key)
+	return isRun(key) && piece > 0
+}
+
 // boot starts a node, as a new process would.
 func (c *cluster) boot(name string) {
 	i := slices.Index(c.names, name)
@@ -242,8 +249,10 @@
 	return nil, status.Error(codes.Unimplemented, "no streams")
 }
 
+func jobID(n int) string { return fmt.Sprintf("req-%06d", n) }
+
 func sweep(n int, ref string, tasks int) wire.Job {
-	return wire.Job{ID: fmt.Sprintf("req-%06d", n), Class: ref, Team: "red", Shape: wire.Array, Rank: wire.Standard, Tasks: tasks,
+	return wire.Job{ID: jobID(n), Class: ref, Team: "red", Shape: wire.Array, Rank: wire.Standard, Tasks: tasks,
 		Cores: 2, MemGB: 4, Image: "img-1", ImageGB: 1, Spot: true, EstimateS: 20}
 }
 
--- a/dependencies_test.go
+++ b/dependencies_test.go
@@ -44,8 +44,6 @@
 	return refs
 }
 
-func jobID(n int) string { return sweep(n, "", 1).ID }
-
 // untilCancelled waits until the users of all jobs are told that they are cancelled.
 func (c *cluster) untilCancelled(limit time.Duration, refs ...string) {
 	c.t.Helper()
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -55,8 +55,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, ch := range txn.Changes {
-		_, piece := ledger.SplitOpen(ch.Set)
-		if isRun(ch.Set) && piece > 0 && slices.ContainsFunc(c.names, func(n string) bool { return c.previous[n] }) {
+		if isFurtherPiece(ch.Set) && slices.ContainsFunc(c.names, func(n string) bool { return c.previous[n] }) {
 			c.t.Errorf("%s is written while not all can read it", ch.Set)
 		}
 	}
@@ -76,19 +75,23 @@
 // pieces counts the pieces of run records beyond the first of each job.
 func (c *cluster) pieces() (n int) {
 	for _, key := range c.w.State.Keys(ledger.PrefixOpen) {
-		if _, piece := ledger.SplitOpen(key); piece > 0 {
+		if isFurtherPiece(key) {
 			n++
 		}
 	}
 	return n
 }
 
-func (c *cluster) uses(format int) func() bool {
-	return func() bool {
-		var v ledger.Version
-		raw := c.w.State.Value(ledger.KeyCluster)
-		return raw != nil && wire.Unmarshal(raw, &v) == nil && v.Format == format
-	}
+// upgraded tells whether the cluster uses the new version of the formats.
+func (c *cluster) upgraded() bool {
+	var v ledger.Version
+	raw := c.w.State.Value(ledger.KeyCluster)
+	return raw != nil && wire.Unmarshal(raw, &v) == nil && v.Format == ledger.FormatPieces
+}
+
+func (c *cluster) untilUpgraded(limit time.Duration) {
+	c.t.Helper()
+	c.until("the cluster uses the new format", limit, c.upgraded)
 }
 
 // Controllers are upgraded one after the other while a large array runs, whose record
@@ -99,13 +102,13 @@
 		c.submit(standing(2, 3), 0)
 		c.until("hundreds run", 4*time.Minute, func() bool { return len(c.w.On(jobID(1))) > 200 })
 		for i, name := range nodeNames {
-			if c.uses(ledger.FormatPieces)() {
+			if c.upgraded() {
 				t.Errorf("%d of 3 are upgraded, and the cluster uses the new format", i)
 			}
 			c.restartAs(false, name)
 			time.Sleep(8 * time.Second)
 		}
-		c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
+		c.untilUpgraded(20 * time.Second)
 		c.w.State.Limit(c.dep.State.Smaller())
 		c.submit(array(3, 340), 20)
 		c.until("pieces are written", 2*time.Minute, func() bool { return c.pieces() > 3 })
@@ -146,7 +149,7 @@
 				return len(left) == 0
 			})
 			c.untilDone(10*time.Minute, large...)
-			c.until("the cluster uses the new format", time.Minute, c.uses(ledger.FormatPieces))
+			c.untilUpgraded(time.Minute)
 		})
 	}
 }
@@ -169,7 +172,7 @@
 		c.submit(array(2, 100), 10)
 		c.submit(standing(3, 3), 0)
 		c.untilDone(8*time.Minute, jobID(1), jobID(2))
-		if c.uses(ledger.FormatPieces)() || c.pieces() > 0 {
+		if c.upgraded() || c.pieces() > 0 {
 			t.Error("the cluster uses the new format without a node")
 		}
 		// The leader learns of the limits by the first.
@@ -177,7 +180,7 @@
 			t.Errorf("%d writes beyond the limits", n)
 		}
 		mend()
-		c.until("the cluster uses the new format", 30*time.Second, c.uses(ledger.FormatPieces))
+		c.untilUpgraded(30 * time.Second)
 		c.submit(array(4, 200), 10)
 		c.untilDone(8*time.Minute, jobID(4))
 	})
@@ -188,16 +191,13 @@
 func TestDeathBetweenPieces(t *testing.T) {
 	for seed := range seeds(4) {
 		runIn(t, 720+seed, nodeNames, wide(), func(c *cluster) {
-			c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
+			c.untilUpgraded(20 * time.Second)
 			c.w.State.Limit(c.dep.State.Smaller())
 			var transactions, killed uint64
 			die := make(chan struct{}, 12)
 			c.w.State.OnCommit = func(txn *wire.Commit) {
 				c.checkGuards(txn)
-				further := func(ch wire.Change) bool {
-					_, piece := ledger.SplitOpen(ch.Set + ch.Delete)
-					return piece > 0
-				}
+				further := func(ch wire.Change) bool { return isFurtherPiece(ch.Set + ch.Delete) }
 				if !slices.ContainsFunc(txn.Changes, further) {
 					return
 				}
@@ -208,15 +208,15 @@
 			}
 			c.w.State.Late = c.lateCommits(0.03)
 			go func() {
-				for c.ctx.Err() == nil {
+				for {
 					select {
-					case <-die:
-						if l := c.leader(); l != "" {
-							c.kill(l)
-							time.Sleep(time.Second)
-							c.boot(l)
-						}
 					case <-c.ctx.Done():
+						return
+					case <-die:
+					}
+					if old := c.killLeader(); old != "" {
+						time.Sleep(time.Second)
+						c.boot(old)
 					}
 				}
 			}()
@@ -238,7 +238,7 @@
 // have named is surely over, and then the job goes on to its end.
 func TestUnreadablePiece(t *testing.T) {
 	runIn(t, 73, nodeNames, wide(), func(c *cluster) {
-		c.until("the cluster uses the new format", 20*time.Second, c.uses(ledger.FormatPieces))
+		c.untilUpgraded(20 * time.Second)
 		c.submit(array(1, 120), 60)
 		c.until("all run", 4*time.Minute, func() bool { return len(c.w.On(jobID(1))) == 120 })
 		c.w.State.Spoil(ledger.PieceKey(jobID(1), 2))
@@ -254,12 +254,12 @@
 		c.w.State.Spoil(ledger.NodeKey(nodeNames[2]))
 		c.restartAs(false, nodeNames[0], nodeNames[1])
 		time.Sleep(20 * time.Second)
-		if c.uses(ledger.FormatPieces)() {
+		if c.upgraded() {
 			t.Error("the cluster uses the new format")
 		}
 		c.untilShown("version 1 of its records", "<td>marble-1</td><td>2</td>", "<td>marble-2</td><td>1</td>")
 		c.restartAs(false, nodeNames[2]) // it writes its record anew
-		c.until("the cluster uses the new format", 30*time.Second, c.uses(ledger.FormatPieces))
+		c.untilUpgraded(30 * time.Second)
 		c.untilShown("version 2 of its records", "<td>marble-1</td><td>2</td>", "<td>marble-2</td><td>2</td>")
 	})
 }
