Believe an unanswered transaction only what its records prove

Reproduced, each test failing before on the stand-ins: TestStartsWithoutRecord (orphaned: a task on a worker that no record names), TestStartsAfterCancellation (a start after its user was told) and TestClosedWithoutRecord (too_early, and with it ran_cancelled: the dependent of a cancelled job runs for longer than cancel_s).

Cause: a transaction whose first try was carried out without an answer, and that was refused as beyond the limits when sent again, was reported as not carried out. The versions that the leader held were old from then on, so every next transaction conflicted; and when one of these stayed unanswered, the key that was read to learn its outcome had been changed by the earlier one. The leader took it for carried out: it sent starts that no record names, started jobs cancelled meanwhile, and took jobs for done that were not closed. No test missed it since a lost answer, a refusal for size and a second lost answer had to come within five seconds.

Mend: statestore.Apply reports an outcome only when it holds for good; a transaction in doubt that cannot be sent again ends the term, whose key makes late copies fail; a conflict counts as carried out only if every record that the transaction changes has changed. A job's final phase is what was written, not what memory says later.

The stand-ins now judge by their own history that every task on a worker is named by the records from before its start to its end, that nothing of a job is on a machine cancel_s after one that it needs was called cancelled, and that no job starts after one called cancelled.

--- /dev/null
+++ b/commit_outcome_test.go
@@ -0,0 +1,127 @@
+package marblehaven
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/standin"
+	"marblehaven/internal/wire"
+)
+
+// changesAll tells whether a transaction changes all the keys.
+func changesAll(txn *wire.Commit, keys ...string) bool {
+	for _, key := range keys {
+		if !slices.ContainsFunc(txn.Changes, func(ch wire.Change) bool { return ch.Set == key || ch.Delete == key }) {
+			return false
+		}
+	}
+	return true
+}
+
+// inDoubt makes the leader's transaction that changes the key first be carried out
+// without an answer, and the same be refused as beyond the limits when it is sent
+// again, as when these have become smaller in between. After that the first that
+// changes both keys is lost on its way. The channel is closed when the first
+// transaction is refused.
+func (c *cluster) inDoubt(first, second string) (refused <-chan struct{}) {
+	const ( // what has come about
+		nothing = iota
+		carriedOut
+		refusedOnce
+		lostOnce
+	)
+	at := nothing
+	ch := make(chan struct{})
+	c.w.State.Fault = func(txn *wire.Commit) standin.Fault {
+		switch {
+		case at == nothing && changesAll(txn, first):
+			at = carriedOut
+			return standin.AnswerLost
+		case at == carriedOut && changesAll(txn, first):
+			at = refusedOnce
+			close(ch)
+			return standin.OverLimit
+		case at == refusedOnce && changesAll(txn, first, second):
+			at = lostOnce
+			return standin.NotExecuted
+		}
+		return standin.None
+	}
+	return ch
+}
+
+// withdrawUnheard cancels a job without the leader's hearing of it by an event.
+func (c *cluster) withdrawUnheard(ref string) wire.JobStatus {
+	c.w.State.LoseEvent = func(key string) bool { return key == ledger.OpenKey(ref) }
+	_, status := c.w.Withdraw(ref)
+	return status
+}
+
+// A transaction whose answer was lost is refused when it is sent again, though it was
+// carried out. What the leader then takes for the outcome of its next transaction must
+// be true: believing that one to be carried out it sent starts that no record names,
+// which the next leader knows nothing of.
+func TestStartsWithoutRecord(t *testing.T) {
+	runIn(t, 901, nodeNames, wide(), func(c *cluster) {
+		c.untilUpgraded(20 * time.Second)
+		c.submit(sweep(1, "warm", 2), 300) // so that there is a machine
+		c.until("a machine runs", 2*time.Minute, func() bool { return len(c.w.On(jobID(1))) == 2 })
+		refused := c.inDoubt(ledger.PieceKey(jobID(2), 0), ledger.PieceKey(jobID(3), 0))
+		c.submit(array(2, 1), 30)
+		<-refused
+		c.submit(array(3, 1), 30)
+		time.Sleep(4 * time.Second)
+		c.killLeader()
+		c.untilDone(4*time.Minute, jobID(2), jobID(3))
+	})
+}
+
+// The same with a job that is cancelled before its start is recorded: it is not
+// started after its user was told.
+func TestStartsAfterCancellation(t *testing.T) {
+	runIn(t, 902, nodeNames, wide(), func(c *cluster) {
+		c.untilUpgraded(20 * time.Second)
+		c.submit(sweep(1, "warm", 2), 300)
+		c.until("a machine runs", 2*time.Minute, func() bool { return len(c.w.On(jobID(1))) == 2 })
+		refused := c.inDoubt(ledger.PieceKey(jobID(2), 0), ledger.PieceKey(jobID(3), 0))
+		c.submit(array(2, 1), 30)
+		<-refused
+		c.submit(array(3, 1), 300)
+		time.Sleep(100 * time.Millisecond) // its start is about to be recorded
+		if st := c.withdrawUnheard(jobID(3)); st.Phase != wire.PhaseCancelled {
+			t.Fatalf("a job withdrawn at its start is %s", st.Phase)
+		}
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			if on := c.w.On(jobID(3)); len(on) > 0 {
+				t.Errorf("a cancelled job is started on %s", on)
+				break
+			}
+		}
+		c.untilDone(4*time.Minute, jobID(2))
+	})
+}
+
+// The same with the transaction that closes a job: believing it to be carried out the
+// leader took a job for done that its user was told is cancelled, and started the job
+// that waits for it.
+func TestClosedWithoutRecord(t *testing.T) {
+	runIn(t, 903, nodeNames, wide(), func(c *cluster) {
+		c.untilUpgraded(20 * time.Second)
+		refused := c.inDoubt(ledger.FinalKey(jobID(1)), ledger.FinalKey(jobID(2)))
+		c.submit(array(1, 1), 10)
+		c.submit(array(2, 1), 10.5)
+		c.submit(after(sweep(3, "stage", 2), jobID(2)), 60)
+		<-refused // and the second job ends in a moment
+		if st := c.withdrawUnheard(jobID(2)); st.Phase != wire.PhaseCancelled {
+			t.Fatalf("a job withdrawn at its end is %s", st.Phase)
+		}
+		time.Sleep(time.Minute)
+		if on := c.w.On(jobID(3)); len(on) > 0 {
+			t.Errorf("a job that waits for a cancelled one is started on %s", on)
+		}
+		c.untilCancelled(10*time.Second, jobID(2), jobID(3))
+	})
+}
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -10,7 +10,6 @@
 
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
-	"marblehaven/internal/pause"
 	"marblehaven/internal/statestore"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -20,11 +19,10 @@
 type batch struct {
 	txn       wire.Commit
 	runs      []runWrite
-	closed    []*job
+	closed    []closing
 	claims    []*claim   // written
 	drops     []*claim   // deleted
 	leftovers []leftover // deleted
-	atMS      int64      // the time of day that final records carry
 	opsMost   int        // changes that the transaction may have
 	bytes     int
 }
@@ -37,6 +35,12 @@
 	done   []int
 }
 
+// closing is a job that a batch moves to its final record, and what that says.
+type closing struct {
+	job   *job
+	final ledger.Final
+}
+
 // leftover is a piece of a finished job's run record.
 type leftover struct {
 	key     string
@@ -66,23 +70,6 @@
 // bytes as JSON.
 const smallRecordBytes = 400
 
-// probe names a key whose version tells whether the batch was applied, and the
-// version that it had before; 0: it did not exist.
-func (b *batch) probe() (key string, was uint64) {
-	switch {
-	case len(b.closed) > 0:
-		return ledger.FinalKey(b.closed[0].ref), 0
-	case len(b.runs) > 0:
-		w := b.runs[0]
-		return ledger.PieceKey(w.job.ref, w.number), w.job.piece(w.number).version
-	case len(b.claims) > 0:
-		return ledger.ClaimKey(b.claims[0].Claim.Claim), 0
-	case len(b.leftovers) > 0:
-		return b.leftovers[0].key, b.leftovers[0].version
-	}
-	return "", 0
-}
-
 // commit writes what is due, as far as the limits of a commit and the write
 // budget go. One commit is under way at a time, so records never overtake one
 // another; each is guarded by its own version, so a late copy of an earlier
@@ -92,7 +79,7 @@
 		return
 	}
 	budget := int(c.writes.TokensAt(now))
-	b := &batch{opsMost: min(c.Store.TxnOps(), budget), atMS: now.UnixMilli()}
+	b := &batch{opsMost: min(c.Store.TxnOps(), budget)}
 	b.guard(ledger.KeyTerm, c.term.Stamp)
 	c.addClaims(b)
 	c.addJobs(b, budget, now)
@@ -182,7 +169,7 @@
 			return
 		}
 		if d.number == ledger.NoPiece {
-			b.close(d.job)
+			b.close(d.job, now)
 		} else {
 			c.addPiece(b, d.job, d.number, now)
 		}
@@ -191,19 +178,20 @@
 
 // close moves a job from its open to its final record. Pieces of its run record
 // that do not fit in the transaction are removed later: without an open record
-// nothing counts them.
-func (b *batch) close(j *job) {
+// nothing counts them. That there is no final record yet is a condition as well, by
+// which a conflict tells whether the transaction was executed (statestore.Apply).
+func (b *batch) close(j *job, now time.Time) {
 	const openAndFinal = 2
 	if !b.room(openAndFinal+1, openAndFinal*smallRecordBytes) {
 		return
 	}
-	phase := wire.PhaseDone
+	final := ledger.Final{Phase: wire.PhaseDone, Tasks: j.nDone, AtMS: now.UnixMilli()}
 	if j.cancelled {
-		phase = wire.PhaseCancelled
+		final.Phase = wire.PhaseCancelled
 	}
 	b.guard(ledger.OpenKey(j.ref), j.openVer)
 	b.remove(ledger.OpenKey(j.ref))
-	final := ledger.Final{Phase: phase, Tasks: j.nDone, AtMS: b.atMS}
+	b.guard(ledger.FinalKey(j.ref), 0)
 	b.put(ledger.FinalKey(j.ref), final, smallRecordBytes)
 	for number := range j.pieces {
 		p := &j.pieces[number]
@@ -215,7 +203,7 @@
 		b.remove(key)
 		p.removed = true
 	}
-	b.closed = append(b.closed, j)
+	b.closed = append(b.closed, closing{j, final})
 }
 
 // addPiece writes a piece of a job's run record.
@@ -277,37 +265,10 @@
 	j.restUntil = now.Add(tuning.MachineBackoff)
 }
 
-// runCommit carries a commit through to a certain outcome. Without an answer it
-// may have been applied, or be applied later: it is sent again, unchanged, and
-// when its guards then fail, a key tells whether the first copy was applied.
+// runCommit carries a commit through to a certain outcome.
 func (c *Controller) runCommit(b *batch) {
-	ctx := c.ctx
-	unknown := false
-	key, was := b.probe()
-	for ctx.Err() == nil {
-		r, err := c.Store.Commit(ctx, b.txn)
-		switch {
-		case errors.Is(err, statestore.ErrUnknown):
-			unknown = true
-			c.Log.Debug("commit unanswered", "err", err)
-			pause.For(ctx, tuning.ElectionRetry)
-			continue
-		case errors.Is(err, statestore.ErrRefused) && unknown:
-			pause.For(ctx, tuning.ElectionRetry)
-			continue
-		case errors.Is(err, statestore.ErrConflict) && unknown && !slices.Contains(r.Failed, ledger.KeyTerm) && key != "":
-			it, gerr := c.Store.Get(ctx, key)
-			if gerr != nil && !errors.Is(gerr, statestore.ErrNotFound) {
-				pause.For(ctx, tuning.ElectionRetry)
-				continue
-			}
-			if it.Version != was {
-				r.Revision, err = it.Version, nil
-			}
-		}
-		c.send(commitMsg{b, r.Revision, r.Failed, err})
-		return
-	}
+	reply, err := c.Store.Apply(c.ctx, b.txn, ledger.KeyTerm)
+	c.send(commitMsg{b, reply.Revision, reply.Failed, err})
 }
 
 func (c *Controller) onCommit(m commitMsg, now time.Time) {
@@ -321,8 +282,8 @@
 	for _, w := range m.b.runs {
 		c.onRunWritten(w, m.revision)
 	}
-	for _, j := range m.b.closed {
-		c.onClosed(j, m.b.atMS, now)
+	for _, cl := range m.b.closed {
+		c.onClosed(cl, now)
 	}
 	for _, cl := range m.b.claims {
 		cl.recorded = true
@@ -350,8 +311,10 @@
 	}
 }
 
-func (c *Controller) onClosed(j *job, atMS int64, now time.Time) {
-	c.Log.Debug("job over", "job", j.ref, "cancelled", j.cancelled)
+// onClosed draws the conclusions from a final record that was written.
+func (c *Controller) onClosed(cl closing, now time.Time) {
+	j := cl.job
+	c.Log.Debug("job over", "job", j.ref, "phase", cl.final.Phase)
 	for number, p := range j.pieces {
 		if p.version > 0 && !p.removed {
 			c.leftovers = append(c.leftovers, leftover{ledger.PieceKey(j.ref, number), p.version})
@@ -359,12 +322,8 @@
 	}
 	delete(c.jobs, j.ref)
 	c.closed[j.ref] = now
-	phase := wire.PhaseDone
-	if j.cancelled {
-		phase = wire.PhaseCancelled
-	}
 	c.dropDependent(j)
-	c.settle(j.ref, outcome{phase, time.UnixMilli(atMS)}, now)
+	c.settle(j.ref, outcome{cl.final.Phase, time.UnixMilli(cl.final.AtMS)}, now)
 }
 
 func (c *Controller) onCommitFailed(m commitMsg, now time.Time) {
@@ -372,13 +331,19 @@
 		p := w.job.piece(w.number)
 		p.dirty, p.urgent = true, p.urgent || len(w.placed) > 0
 	}
-	for _, j := range m.b.closed {
-		for number := range j.pieces {
-			j.pieces[number].removed = false
+	for _, cl := range m.b.closed {
+		for number := range cl.job.pieces {
+			cl.job.pieces[number].removed = false
 		}
 	}
 	conflict := errors.Is(m.err, statestore.ErrConflict)
 	switch {
+	case errors.Is(m.err, statestore.ErrInDoubt):
+		// What was written is not known, and may still be written. The next
+		// term's key makes that impossible, and its leader reads what there is.
+		c.Log.Error("leaving the term to know the outcome of a transaction", "err", m.err)
+		c.OnTerm(c.term.N + 1)
+		return
 	case conflict && slices.Contains(m.failed, ledger.KeyTerm):
 		c.Log.Info("the term was taken by another node")
 		c.OnTerm(c.term.N + 1)
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -179,7 +179,8 @@
 		b, _ := wire.Marshal(o)
 		c.setOpen(ledger.OpenKey(named.ref), b, named.openVer+1, late)
 		c.commit(late)
-		if c.inCommit == nil || !slices.Contains(c.inCommit.closed, named) {
+		isNamed := func(cl closing) bool { return cl.job == named }
+		if c.inCommit == nil || !slices.ContainsFunc(c.inCommit.closed, isNamed) {
 			t.Error("a job whose record was read is not closed")
 		}
 	})
--- a/internal/standin/dependencies.go
+++ b/internal/standin/dependencies.go
@@ -34,10 +34,11 @@
 // complete tells whether all tasks of a job are done.
 func (u *userJob) complete() bool { return len(u.finished) >= u.job.Tasks }
 
-// mayStart tells whether all jobs that a job needs are done.
+// mayStart tells whether all jobs that a job needs are done: one whose user was told
+// that it is cancelled never is, though all its tasks may be complete.
 func (w *World) mayStart(u *userJob) bool {
 	for _, d := range w.needed(u) {
-		if !d.complete() {
+		if !d.complete() || !d.cancelTold.IsZero() {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/standin/records.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"time"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/wire"
+)
+
+// records reads run records in the state service, decoding each version once.
+type records struct {
+	state  *State
+	pieces map[string]decodedPiece // by key
+}
+
+// decodedPiece is a version of a piece of a run record.
+type decodedPiece struct {
+	version  uint64
+	run      ledger.Run
+	readable bool
+}
+
+func newRecords(state *State) *records {
+	return &records{state: state, pieces: map[string]decodedPiece{}}
+}
+
+// piece returns the piece that counts for a task: its own if that was written,
+// otherwise the first of its job.
+func (r *records) piece(ref string, task int) decodedPiece {
+	r.state.mu.Lock()
+	defer r.state.mu.Unlock()
+	key := ledger.PieceKey(ref, ledger.Piece(task))
+	stored, written := r.state.keys[key]
+	if !written {
+		key = ledger.PieceKey(ref, 0)
+		if stored, written = r.state.keys[key]; !written {
+			return decodedPiece{readable: true} // it names nothing
+		}
+	}
+	if known, ok := r.pieces[key]; ok && known.version == stored.version {
+		return known
+	}
+	piece := decodedPiece{version: stored.version}
+	piece.readable = wire.Unmarshal(stored.value, &piece.run) == nil
+	r.pieces[key] = piece
+	return piece
+}
+
+// mayName tells whether the records name an attempt of a task on a machine, or
+// cannot be read.
+func (r *records) mayName(t *task, machine string) bool {
+	piece := r.piece(t.ref, t.num)
+	if !piece.readable {
+		return true
+	}
+	for _, p := range piece.run.Live {
+		if p.Task == t.num && p.Attempt == t.attempt && p.Machine == machine {
+			return true
+		}
+	}
+	return false
+}
+
+// checkRecorded judges that every task on a machine is in the run record of its job,
+// from before its start until it has surely ended: what no record names, the next
+// leader knows nothing of.
+func (w *World) checkRecorded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		for _, t := range m.tasks {
+			if t.state == wire.TaskExited || t.unrecorded || w.records.mayName(t, m.id) {
+				continue
+			}
+			t.unrecorded = true // told once
+			w.breakRule("orphaned: no record names %s/%d try %d (%s) on %s at %v", t.ref, t.num, t.attempt, t.state, m.id, time.Now())
+		}
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -52,6 +52,8 @@
 	Refusals map[int]int
 	// LoseReply picks applied commits that are not answered.
 	LoseReply func() bool
+	// Fault picks what goes wrong with a commit, before its conditions are looked at.
+	Fault func(c *wire.Commit) Fault
 	// Late picks commits that get no answer and are carried out so much later,
 	// after newer ones; 0: not this one.
 	Late func() time.Duration
@@ -61,6 +63,18 @@
 	LoseEvent func(key string) bool
 }
 
+// Fault is what goes wrong with a commit.
+type Fault int
+
+// The faults of a commit.
+const (
+	None        Fault = iota
+	AnswerLost        // it is carried out, and its answer is lost
+	NotExecuted       // it is lost on its way: neither carried out nor answered
+	OverLimit         // it is refused with 400
+	Throttled         // it is refused with 429
+)
+
 type change struct {
 	key string
 	ev  wire.Event
@@ -349,20 +363,47 @@
 	return len(b)
 }
 
-func (s *State) commit(w http.ResponseWriter, body []byte) {
-	var c struct {
-		Guards  []wire.Guard `msgpack:"guards"`
-		Changes []struct {
-			Set    string             `msgpack:"set"`
-			Value  msgpack.RawMessage `msgpack:"data"`
-			Lease  uint64             `msgpack:"permit"`
-			Delete string             `msgpack:"delete"`
-		} `msgpack:"then"`
+// transaction is a commit as it arrives.
+type transaction struct {
+	Guards  []wire.Guard `msgpack:"guards"`
+	Changes []struct {
+		Set    string             `msgpack:"set"`
+		Value  msgpack.RawMessage `msgpack:"data"`
+		Lease  uint64             `msgpack:"permit"`
+		Delete string             `msgpack:"delete"`
+	} `msgpack:"then"`
+}
+
+// keys is the transaction without its values.
+func (t *transaction) keys() *wire.Commit {
+	out := &wire.Commit{Guards: t.Guards}
+	for _, ch := range t.Changes {
+		out.Changes = append(out.Changes, wire.Change{Set: ch.Set, Delete: ch.Delete})
 	}
+	return out
+}
+
+func (s *State) commit(w http.ResponseWriter, body []byte) {
+	var c transaction
 	if err := wire.Unmarshal(body, &c); err != nil {
 		answer(w, 400, wire.ErrorReply{Error: err.Error()})
 		return
 	}
+	fault := None
+	if s.Fault != nil {
+		fault = s.Fault(c.keys())
+	}
+	switch fault {
+	case NotExecuted:
+		answer(w, 502, nil)
+		return
+	case OverLimit:
+		answer(w, 400, wire.ErrorReply{Error: "beyond the limits"})
+		return
+	case Throttled:
+		answer(w, 429, nil)
+		return
+	}
 	const aroundKey = 60 // field names, brackets and a version
 	size, broken := 0, ""
 	for _, g := range c.Guards {
@@ -419,13 +460,9 @@
 		s.wake()
 	}
 	if s.OnCommit != nil {
-		out := &wire.Commit{Guards: c.Guards}
-		for _, ch := range c.Changes {
-			out.Changes = append(out.Changes, wire.Change{Set: ch.Set, Delete: ch.Delete})
-		}
-		s.OnCommit(out)
+		s.OnCommit(c.keys())
 	}
-	if s.LoseReply != nil && s.LoseReply() {
+	if fault == AnswerLost || (s.LoseReply != nil && s.LoseReply()) {
 		answer(w, 502, nil)
 		return
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -19,6 +19,8 @@
 	saved   bool
 	since   time.Time // of state
 	left    float64   // seconds of work, while running
+	// unrecorded: it was on a machine without being in a run record.
+	unrecorded bool
 }
 
 func (t *task) onMachine() bool { return t.state != wire.TaskExited && t.state != wire.TaskFetching }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -43,6 +43,7 @@
 	LateStart time.Duration          // the longest time from a confirmed cancellation to a start
 	calm      bool                   // all troubles are over
 	addrNode  map[string]string      // node name -> address
+	records   *records
 }
 
 // userJob is a job as its user knows it.
@@ -67,6 +68,7 @@
 	for _, t := range types {
 		w.types[t.Name] = t
 	}
+	w.records = newRecords(w.State)
 	w.State.MaxOps, w.State.MaxValue = cfg.State.TxnOps, int(cfg.State.ValueKB*1024)
 	net.Listen("state", "state:1", w.State)
 	net.Listen("cloud", "cloud:1", http.HandlerFunc(w.cloud))
@@ -74,6 +76,7 @@
 		for ctx.Err() == nil {
 			time.Sleep(200 * time.Millisecond)
 			w.checkCancelled()
+			w.checkRecorded()
 			w.checkWaiting()
 		}
 	}()
@@ -462,9 +465,15 @@
 	w.overdue(m, t)
 }
 
+// overdue judges a task on a machine whose job is cancelled, by its own user or with
+// one that it needs.
 func (w *World) overdue(m *machine, t *task) {
 	u := w.jobs[t.ref]
-	if !u.cancelled.IsZero() && time.Since(u.cancelled).Seconds() > w.Cfg.Workers.CancelS && t.onMachine() {
+	since := u.cancelled
+	if _, told := w.cancelledBefore(u); since.IsZero() || (!told.IsZero() && told.Before(since)) {
+		since = told
+	}
+	if !since.IsZero() && time.Since(since).Seconds() > w.Cfg.Workers.CancelS && t.onMachine() {
 		w.breakRule("ran_cancelled: %s/%d on %s", t.ref, t.num, m.id)
 	}
 }
--- /dev/null
+++ b/internal/statestore/apply.go
@@ -0,0 +1,103 @@
+package statestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"marblehaven/internal/pause"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// ErrInDoubt: a try of the transaction was not answered, and it cannot be sent again.
+// It may have been executed, or be executed later. Nothing may be concluded from its
+// records until one of its conditions can no longer hold.
+var ErrInDoubt = errors.New("state service: transaction in doubt")
+
+// Apply carries a transaction through to an outcome that holds for good. Without an
+// answer it may have been executed, or be executed later, so it is sent again,
+// unchanged. The result is one of these:
+//
+//   - nil: it was executed, once; the reply has its revision.
+//   - ErrConflict: it was not executed and never will be, or the condition on the fence
+//     has failed; the reply names the conditions that failed.
+//   - ErrInDoubt, or the context's end: see there.
+//   - any other error: no try of it was executed.
+//
+// As long as the condition on the fence holds, the caller must be the only one to create
+// or delete any of the keys that the transaction changes under a condition, or to set
+// any that it sets, and must have one transaction under way at a time.
+func (c *Client) Apply(ctx context.Context, txn wire.Commit, fence string) (wire.CommitReply, error) {
+	unanswered := false
+	for ctx.Err() == nil {
+		reply, err := c.Commit(ctx, txn)
+		switch {
+		case errors.Is(err, ErrUnknown):
+			unanswered = true
+		case !unanswered:
+			return reply, err
+		case errors.Is(err, ErrConflict) && slices.Contains(reply.Failed, fence):
+			return reply, err
+		case errors.Is(err, ErrConflict):
+			return c.resolveConflict(ctx, &txn, reply)
+		case err == nil:
+			return reply, nil
+		case !errors.Is(err, ErrRefused):
+			// It cannot be sent any more, for instance since the limits have
+			// become smaller. That says nothing of the first try.
+			return reply, fmt.Errorf("%w: %w", ErrInDoubt, err)
+		}
+		pause.For(ctx, tuning.ElectionRetry)
+	}
+	return wire.CommitReply{}, ctx.Err()
+}
+
+// resolveConflict tells whether a conflict shows that an earlier, unanswered try was
+// executed: that would have changed every key that the transaction changes, so the
+// conditions on all of these fail. One that holds proves that it was not executed; and
+// since versions never come back it never will be.
+func (c *Client) resolveConflict(ctx context.Context, txn *wire.Commit, reply wire.CommitReply) (wire.CommitReply, error) {
+	set, executed := changedKeys(txn, reply.Failed)
+	if !executed {
+		return reply, ErrConflict
+	}
+	if set == "" {
+		return wire.CommitReply{}, nil // it deleted records only, which leaves no version
+	}
+	for ctx.Err() == nil {
+		item, err := c.Get(ctx, set)
+		switch {
+		case err == nil:
+			return wire.CommitReply{Revision: item.Version}, nil
+		case errors.Is(err, ErrNotFound):
+			return reply, fmt.Errorf("%w: %s is gone", ErrInDoubt, set)
+		}
+		pause.For(ctx, tuning.ElectionRetry)
+	}
+	return wire.CommitReply{}, ctx.Err()
+}
+
+// changedKeys tells whether all conditions on keys that a transaction changes have
+// failed, of which there must be one, and names a key that it sets under a condition.
+func changedKeys(txn *wire.Commit, failed []string) (set string, allFailed bool) {
+	conditions := map[string]bool{}
+	for _, guard := range txn.Guards {
+		conditions[guard.Key] = true
+	}
+	for _, change := range txn.Changes {
+		key := change.Set + change.Delete
+		if !conditions[key] {
+			continue
+		}
+		if !slices.Contains(failed, key) {
+			return "", false
+		}
+		allFailed = true
+		if set == "" {
+			set = change.Set
+		}
+	}
+	return set, allFailed
+}
