Mend what rests on the same belief: old readings, cut lists, rests cut short

- A reading that began before a job was closed could arrive after thirty seconds, when the leader no longer remembered that it had closed it, and open it again: each later commit failed with it.
The leader now forgets a closed job once a reading that began after the closing is in (TestReadingFromBeforeClosing).
- A list that breaks off with an empty page, or whose page comes again, was taken for the whole list, or read for ever (TestListAll, TestListPages).
- A job of whose run record a part cannot be read must rest until that is surely over; a failing task of the rest shortened it to two seconds (TestRestIsNotShortened).

The status page and the log name tasks that no record names.

--- a/chaos_test.go
+++ b/chaos_test.go
@@ -23,6 +23,8 @@
 	c.w.Limit("small", "a", true, 2)
 	c.w.Limit("big", "a", true, 1)
 	c.w.Limit("big", "b", false, 3)
+	// Lists have several pages, as at production size.
+	c.w.State.PageMost, c.w.PageMost = 1+rng.IntN(20), 1+rng.IntN(5)
 	next := 0
 	var mu sync.Mutex
 	var keep []string     // jobs that must be done in the end, unless one they need is cancelled
@@ -89,7 +91,7 @@
 		if len(machines) > 0 {
 			machine = machines[rng.IntN(len(machines))]
 		}
-		switch rng.IntN(20) {
+		switch rng.IntN(22) {
 		case 0:
 			c.kill(name)
 			later(secs(1, 6), func() { c.boot(name) })
@@ -149,6 +151,9 @@
 		case 16: // transactions without an answer are carried out late
 			c.w.State.Late = c.lateCommits(0.15)
 			later(secs(5, 30), func() { c.w.State.Late = nil })
+		case 20, 21: // answers of transactions are lost, and some are refused when sent again
+			c.w.State.Fault = c.faultyCommits()
+			later(secs(5, 40), func() { c.w.State.Fault = nil })
 		case 17: // it hangs between a command and its answer
 			if machine != "" {
 				c.w.HangInCommand(machine, secs(1, 25))
--- a/commit_outcome_test.go
+++ b/commit_outcome_test.go
@@ -59,6 +59,24 @@
 	return status
 }
 
+// faultyCommits makes transactions fail in every way that leaves their outcome unknown,
+// or says nothing of an earlier try.
+func (c *cluster) faultyCommits() func(*wire.Commit) standin.Fault {
+	return func(*wire.Commit) standin.Fault {
+		switch p := c.w.Random(); {
+		case p < 0.25:
+			return standin.AnswerLost
+		case p < 0.3:
+			return standin.NotExecuted
+		case p < 0.4:
+			return standin.Throttled
+		case p < 0.43:
+			return standin.OverLimit
+		}
+		return standin.None
+	}
+}
+
 // A transaction whose answer was lost is refused when it is sent again, though it was
 // carried out. What the leader then takes for the outcome of its next transaction must
 // be true: believing that one to be carried out it sent starts that no record names,
--- a/internal/api/page.go
+++ b/internal/api/page.go
@@ -30,6 +30,10 @@
 <h2>Machines</h2><table><tr><th>type</th><th>up</th><th>starting or silent</th></tr>
 {{range .S.Machines}}<tr><td>{{.Type}}{{if .Spot}} (cheap){{end}}</td><td>{{.Up}}</td><td>{{.Other}}</td></tr>
 {{end}}</table>
+{{if .S.UnknownTasks}}<h2 class="bad">{{.S.UnknownTasks}} tasks on machines that no record names; they are being stopped</h2>
+<table><tr><th>task</th><th>try</th><th>state</th><th>machine</th><th>its job</th></tr>
+{{range .S.Unknown}}<tr><td>{{.Task}}</td><td>{{.Attempt}}</td><td>{{.State}}</td><td>{{.Machine}}</td><td>{{.Job}}</td></tr>
+{{end}}</table>{{end}}
 <h2>Versions</h2><p>The cluster uses format version {{.S.Format}} of its records.</p>
 <table><tr><th>controller</th><th>reads version</th></tr>
 {{range .S.Versions}}<tr><td>{{.Node}}</td><td>{{.Format}}</td></tr>
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -89,22 +89,30 @@
 	return c.call(ctx, http.MethodPost, "/rentals/return", wire.Hosts{Hosts: hosts}, nil)
 }
 
-// List reads all machines.
+// List reads all machines. A page that leads no further although there is more is an
+// error, so that no part of the list is taken for the whole.
 func (c *Client) List(ctx context.Context) ([]wire.ListedMachine, error) {
 	var all []wire.ListedMachine
-	for after := ""; ; {
+	for last := ""; ; {
 		q := url.Values{"most": {fmt.Sprint(tuning.ListMax)}}
-		if after != "" {
-			q.Set("after", after)
+		if last != "" {
+			q.Set("after", last)
 		}
 		var page wire.MachineList
 		if err := c.call(ctx, http.MethodGet, "/rentals?"+q.Encode(), nil, map[int]any{200: &page}); err != nil {
 			return nil, err
 		}
 		all = append(all, page.Machines...)
-		if !page.More || len(page.Machines) == 0 {
+		if !page.More {
 			return all, nil
 		}
-		after = page.Machines[len(page.Machines)-1].ID
+		if len(page.Machines) == 0 {
+			return nil, fmt.Errorf("%w: empty page with more to come", ErrUnavailable)
+		}
+		next := page.Machines[len(page.Machines)-1].ID
+		if next == last {
+			return nil, fmt.Errorf("%w: the page after %q comes again", ErrUnavailable, last)
+		}
+		last = next
 	}
 }
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -45,6 +45,16 @@
 	if all, err := c.List(t.Context()); err != nil || len(all) != 2500 || all[2499].ID != "m-002499" {
 		t.Errorf("listed %d machines: %v", len(all), err)
 	}
+	for name, page := range map[string]wire.MachineList{
+		"empty":    {More: true},
+		"repeated": {More: true, Machines: []wire.ListedMachine{{ID: "m-000001"}}},
+	} {
+		broken := pages(func(string) (int, wire.MachineList) { return 200, page })
+		all, err := New("cloud:1", broken, wire.NewComplaints(slog.New(slog.DiscardHandler)), 1000).List(t.Context())
+		if !errors.Is(err, ErrUnavailable) || all != nil {
+			t.Errorf("a list with a page that is %s: %d machines, %v", name, len(all), err)
+		}
+	}
 	fails = 1500
 	if all, err := c.List(t.Context()); !errors.Is(err, ErrUnavailable) || all != nil {
 		t.Errorf("a page failed: listed %d machines: %v", len(all), err)
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -262,7 +262,7 @@
 		c.unplace(p, now)
 	}
 	head.urgent, head.dirtyAt = false, now
-	j.restUntil = now.Add(tuning.MachineBackoff)
+	j.rest(now.Add(tuning.MachineBackoff))
 }
 
 // runCommit carries a commit through to a certain outcome.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -112,7 +112,7 @@
 	sorted   []*fleet.Machine // the same, by name
 	floor    uint64           // the first token of a machine that becomes known
 	gone     map[string]time.Time
-	closed   map[string]time.Time // jobs closed lately: an older reading must not open them again
+	closed   map[string]time.Time // jobs closed lately, see forgetClosed
 	claims   map[string]*claim
 	claimSeq int
 	types    []wire.MachineType
@@ -141,7 +141,8 @@
 	dependents  map[string][]string // jobs that wait for the one named
 	outcomes    map[string]outcome  // final phases of jobs, as far as they were needed
 	lookingUp   bool
-	lookupAt    time.Time
+	lookupBegan time.Time // of the lookup under way
+	lookupAt    time.Time // no lookup before
 	writes      *rate.Limiter
 	listed      bool
 	listing     bool
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -109,7 +109,7 @@
 	if len(refs) == 0 {
 		return
 	}
-	c.lookingUp, c.lookupAt = true, now.Add(tuning.LookupEvery)
+	c.lookingUp, c.lookupBegan, c.lookupAt = true, now, now.Add(tuning.LookupEvery)
 	go func() { c.send(c.readOutcomes(c.ctx, refs)) }()
 }
 
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -123,6 +123,14 @@
 	}
 }
 
+// rest lets nothing of the job start before a time. It never shortens a rest: one may
+// last until what a lost record named is surely over.
+func (j *job) rest(until time.Time) {
+	if until.After(j.restUntil) {
+		j.restUntil = until
+	}
+}
+
 func (j *job) need() sched.Res { return sched.Need(&j.desc) }
 
 func (j *job) rank() int {
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -15,6 +15,7 @@
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
 
@@ -185,3 +186,48 @@
 		}
 	})
 }
+
+// A reading of the open jobs that began before a job was closed may arrive at any time
+// after. It doesn't open the job again: each write for it would fail, and with it all
+// others of the same commit. Once a later reading is in, nothing need be remembered.
+func TestReadingFromBeforeClosing(t *testing.T) {
+	c, now := large(0, 1)
+	j := c.jobs["req-000000"]
+	raw, _ := wire.Marshal(ledger.OpenJob{AtMS: now.UnixMilli(), Job: j.desc})
+	record := wire.Item{Key: ledger.OpenKey(j.ref), Value: raw, Version: j.openVer}
+	reading := eventsMsg{events: []wire.Event{{Set: record.Key, Value: raw, Version: record.Version}}, asOf: now.Add(time.Second)}
+	c.lookingUp, c.lookupBegan = true, now.Add(time.Second)
+	c.onClosed(closing{j, ledger.Final{Phase: wire.PhaseDone, AtMS: now.UnixMilli()}}, now.Add(2*time.Second))
+	long := now.Add(2 * tuning.RereadEvery)
+	c.forgetClosed()
+	c.onEvents(reading, long)
+	c.forgetClosed()
+	c.onEvents(eventsMsg{asOf: now.Add(3 * time.Second)}, long)
+	c.forgetClosed()
+	c.onLookup(lookupMsg{open: []wire.Item{record}}, long)
+	if len(c.jobs) > 0 {
+		t.Error("a closed job was opened again")
+	}
+	if c.forgetClosed(); len(c.closed) > 0 {
+		t.Error("a closed job is remembered though no reading can name it")
+	}
+}
+
+// A job of whose run record a part can't be read rests until what that may have named is
+// surely over, whatever becomes of the tasks that the rest names.
+func TestRestIsNotShortened(t *testing.T) {
+	c, now := large(1, 1)
+	j, m := c.jobs["req-000000"], c.machines["m-000000"]
+	until := now.Add(time.Hour)
+	j.unread = true
+	j.rest(until)
+	for _, cause := range []string{wire.CauseError, wire.CauseUnknown} {
+		for _, p := range m.Live {
+			c.end([]fleet.Ended{{Placement: p, Cause: cause}}, now)
+			break
+		}
+	}
+	if !j.restUntil.Equal(until) {
+		t.Errorf("a rest of an hour became one of %v", j.restUntil.Sub(now))
+	}
+}
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -135,7 +135,7 @@
 		// over, as on machines never heard from, and then goes on with what it
 		// has no record of: workers kept the results of what was done.
 		j.next = max(j.next, c.term.N<<tuning.TermShift+1) // no earlier attempt has this number
-		j.restUntil = c.leaseFrom(c.takeover.Add(c.leaderLease()))
+		j.rest(c.leaseFrom(c.takeover.Add(c.leaderLease())))
 	}
 	for _, lp := range whole.Live {
 		c.restorePlacement(j, lp, now)
@@ -172,6 +172,18 @@
 	c.addJob(ref, &o, ver, now)
 }
 
+// forgetClosed drops the closed jobs that no reading still under way can name: a
+// reading that began after a job was closed has been taken in, and readings of the same
+// kind come one after another.
+func (c *Controller) forgetClosed() {
+	for ref, at := range c.closed {
+		lookup := c.lookingUp && !c.lookupBegan.After(at)
+		if c.asOfFollow.After(at) && !lookup {
+			delete(c.closed, ref)
+		}
+	}
+}
+
 // onUnreadable draws from an open record that cannot be read what can be told.
 func (c *Controller) onUnreadable(ref string, value []byte, now time.Time) {
 	if !ledger.SaysCancelled(value) {
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -32,11 +32,7 @@
 			delete(c.gone, id)
 		}
 	}
-	for ref, at := range c.closed {
-		if now.Sub(at) > tuning.RereadEvery {
-			delete(c.closed, ref)
-		}
-	}
+	c.forgetClosed()
 	for _, m := range c.machines {
 		if m.Session > m.Lapsed || len(m.Live) > 0 {
 			if ended := m.Lapse(now); len(ended) > 0 {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -67,7 +67,7 @@
 
 // observe takes in a report from /hello or from a direct command's answer.
 func (c *Controller) observe(m *fleet.Machine, r *wire.Report, now time.Time) {
-	wasUp := m.Up
+	wasUp, unknown := m.Up, m.UnknownTasks
 	ended, fresh := m.Observe(r, parseTask, now, c.leaseFrom(now))
 	if !fresh {
 		return
@@ -81,6 +81,9 @@
 		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
 	c.end(ended, now)
+	if m.UnknownTasks > unknown {
+		c.logUnknown(m)
+	}
 	if c.Log.Enabled(c.ctx, slog.LevelDebug) {
 		for k, p := range m.Live {
 			if j := c.jobs[k.Job]; j != nil && p.State == wire.TaskRunning && p.Since.Equal(now) {
@@ -152,12 +155,12 @@
 			case wire.CauseError:
 				j.errors++
 				pause := tuning.ErrorBackoff << min(j.errors-1, 10)
-				j.restUntil = now.Add(min(pause, tuning.ErrorBackoffMax))
+				j.rest(now.Add(min(pause, tuning.ErrorBackoffMax)))
 				p.Machine.Failed(j.ref)
 			case wire.CauseNoRoom, wire.CauseBusy:
 				p.Machine.RestUntil = now.Add(tuning.MachineBackoff)
 			case wire.CauseUnknown:
-				j.restUntil = now.Add(tuning.MachineBackoff)
+				j.rest(now.Add(tuning.MachineBackoff))
 			}
 			if j.gang() {
 				// The gang has lost a member: the rest cannot go on.
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -22,6 +22,20 @@
 	// Versions what each controller reads.
 	Format   int           `msgpack:"f,omitempty"`
 	Versions []NodeVersion `msgpack:"v,omitempty"`
+	// UnknownTasks counts the tasks on machines that no record names, and Unknown
+	// describes the first of them.
+	UnknownTasks int           `msgpack:"u,omitempty"`
+	Unknown      []UnknownTask `msgpack:"x,omitempty"`
+}
+
+// UnknownTask is a task that a worker reports and no record names. It is stopped.
+type UnknownTask struct {
+	Task    string `msgpack:"t"`
+	Attempt uint64 `msgpack:"a"`
+	State   string `msgpack:"s"`
+	Machine string `msgpack:"m"`
+	// Job is what is known of its job.
+	Job string `msgpack:"j"`
 }
 
 // NodeVersion is the version of the formats that a controller has recorded.
@@ -108,6 +122,7 @@
 	for _, k := range counts {
 		st.Machines = append(st.Machines, *k)
 	}
+	c.addUnknown(&st)
 	slices.SortFunc(st.Machines, func(a, b MachineCount) int { return cmp.Compare(a.Type, b.Type) })
 	c.status = st
 	if len(st.Behind) > 0 && now.Sub(c.lateLogged) > tuning.LateLogEvery {
@@ -116,6 +131,46 @@
 	}
 }
 
+// addUnknown counts and names the tasks that no record names.
+func (c *Controller) addUnknown(st *Status) {
+	for _, m := range c.sorted {
+		if m.UnknownTasks == 0 {
+			continue
+		}
+		st.UnknownTasks += m.UnknownTasks
+		for _, t := range m.Unknown() {
+			if len(st.Unknown) < tuning.UnknownShown {
+				st.Unknown = append(st.Unknown, c.describeUnknown(m, &t))
+			}
+		}
+	}
+}
+
+// logUnknown logs the tasks of a machine that no record names.
+func (c *Controller) logUnknown(m *fleet.Machine) {
+	for _, t := range m.Unknown() {
+		u := c.describeUnknown(m, &t)
+		c.Log.Error("unknown task", "task", u.Task, "try", u.Attempt, "state", u.State, "machine", u.Machine, "session", m.Session, "job", u.Job)
+	}
+}
+
+func (c *Controller) describeUnknown(m *fleet.Machine, t *fleet.Reported) UnknownTask {
+	u := UnknownTask{Task: t.Task, Attempt: t.Attempt, State: t.State, Machine: m.ID, Job: "not open"}
+	j := c.jobs[t.Of.Job]
+	switch {
+	case j == nil:
+	case j.live[t.Of.Task] != nil:
+		u.Job = "the task is elsewhere or another try"
+	case j.done.Has(t.Of.Task):
+		u.Job = "the task is done"
+	case j.cancelled:
+		u.Job = "cancelled"
+	default:
+		u.Job = "the task waits"
+	}
+	return u
+}
+
 // nodeVersions lists the controllers of the settings with what they have recorded.
 func (c *Controller) nodeVersions() []NodeVersion {
 	names := []string{c.Config.Node}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,7 +65,7 @@
 	Leaving      bool      // is being given back
 	InFlight     bool      // a direct command is under way
 	Unanswered   int       // direct commands in a row without an answer or a report since
-	Alien        int       // reported tasks that we have no record of and that still run
+	UnknownTasks int       // reported tasks that we have no record of and that still run
 	Faulty       bool
 	WasUsable    bool // as last looked at
 
@@ -182,7 +182,7 @@
 // reports nothing by itself is answered nothing, so its lease runs out whatever is
 // started there.
 func (m *Machine) Usable(now time.Time, silent time.Duration) bool {
-	return m.Settled() && !m.Deaf() && !m.Leaving && !m.Faulty && m.Alien == 0 && m.Session > m.Lapsed &&
+	return m.Settled() && !m.Deaf() && !m.Leaving && !m.Faulty && m.UnknownTasks == 0 && m.Session > m.Lapsed &&
 		m.NoticeEnd.IsZero() && now.After(m.RestUntil) && now.Sub(m.LastReport) <= silent && now.Sub(m.LastHello) <= silent
 }
 
@@ -248,7 +248,7 @@
 		}
 	}
 	m.Reported = make([]Reported, len(r.Tasks))
-	m.Alien = 0
+	m.UnknownTasks = 0
 	m.matched = true
 	shown := make(map[Key]*wire.TaskReport, len(r.Tasks))
 	for i := range r.Tasks {
@@ -259,7 +259,7 @@
 		if ok && p != nil && p.Attempt == t.Attempt && p.Session == r.Session {
 			shown[k] = t
 		} else if t.State != wire.TaskExited {
-			m.Alien++
+			m.UnknownTasks++
 		}
 	}
 	for k, p := range m.Live {
@@ -294,6 +294,23 @@
 	return ended, true
 }
 
+// known tells whether a reported task is one that the records place here.
+func (m *Machine) known(t *Reported) bool {
+	p := m.Live[t.Of]
+	return t.OK && p != nil && p.Attempt == t.Attempt && p.Session == m.Session
+}
+
+// Unknown lists the tasks in the newest report that still run and that no record
+// places here.
+func (m *Machine) Unknown() (out []Reported) {
+	for i := range m.Reported {
+		if t := &m.Reported[i]; t.State != wire.TaskExited && !m.known(t) {
+			out = append(out, *t)
+		}
+	}
+	return out
+}
+
 func (m *Machine) sameTasks(ts []wire.TaskReport) bool {
 	return slices.EqualFunc(m.Reported, ts, func(a Reported, b wire.TaskReport) bool { return a.TaskReport == b })
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -58,7 +58,7 @@
 		t.Error("state not taken in")
 	}
 	expect("another attempt of it", report(1, 5, base, wire.TaskReport{Task: "req-1/0", Attempt: 2, State: wire.TaskRunning}), false)
-	if m.Alien != 1 {
+	if m.UnknownTasks != 1 || len(m.Unknown()) != 1 || m.Unknown()[0].Attempt != 2 {
 		t.Error("what is not in the records was not seen")
 	}
 	expect("absent after the higher token was shown", report(1, 6, base+1), true)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -59,6 +59,8 @@
 	Late func() time.Duration
 	// Slow is how long a call waits before it is worked on, by path.
 	Slow func(path string) time.Duration
+	// PageMost is how many keys a page of a list has at most; 0: as many as PROTOCOL says.
+	PageMost int
 	// LoseEvent picks keys whose changes follow calls do not see.
 	LoseEvent func(key string) bool
 }
@@ -245,7 +247,7 @@
 		slices.Sort(keys)
 		page := wire.Items{Revision: s.rev, Items: []wire.Item{}}
 		for _, k := range keys {
-			if len(page.Items) == min(most, 1000) {
+			if len(page.Items) == s.pageSize(most) {
 				page.More = true
 				break
 			}
@@ -347,6 +349,15 @@
 	}
 }
 
+// pageSize is how many keys a page has if so many are asked for.
+func (s *State) pageSize(most int) int {
+	const protocol = 1000
+	if s.PageMost > 0 {
+		return min(most, s.PageMost)
+	}
+	return min(most, protocol)
+}
+
 // plainSize is what a value takes as JSON, by the standard library's encoder.
 func plainSize(raw msgpack.RawMessage) int {
 	if raw == nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -36,6 +37,7 @@
 	Calls     map[string]int         // calls of the cloud, by path
 	LoseReply func(path string) bool // answers of the cloud that get lost
 	CloudDown bool                   // it answers 503 "trouble"
+	PageMost  int                    // machines in a page of the list at most; 0: as many as asked for
 	Saved     int                    // tasks that were stopped and saved
 	Lapses    int                    // leases that ran out with tasks
 	Uneven    float64                // how much longer each task of an array runs than the one before
@@ -273,11 +275,28 @@
 			}
 		}
 		slices.SortFunc(list.Machines, func(a, b wire.ListedMachine) int { return strings.Compare(a.ID, b.ID) })
+		w.cutPage(&list, r.URL.Query())
 		return 200, list
 	}
 	return 404, nil
 }
 
+// cutPage leaves the page of a list that was asked for.
+func (w *World) cutPage(list *wire.MachineList, query url.Values) {
+	after := query.Get("after")
+	list.Machines = slices.DeleteFunc(list.Machines, func(m wire.ListedMachine) bool { return m.ID <= after })
+	most, err := strconv.Atoi(query.Get("most"))
+	if err != nil {
+		most = len(list.Machines)
+	}
+	if w.PageMost > 0 {
+		most = min(most, w.PageMost)
+	}
+	if len(list.Machines) > most {
+		list.Machines, list.More = list.Machines[:most], true
+	}
+}
+
 // Register makes a job one whose user has submitted it, and was told that it is
 // accepted.
 func (w *World) Register(job wire.Job) {
--- /dev/null
+++ b/internal/statestore/apply_test.go
@@ -0,0 +1,244 @@
+package statestore_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/standin"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/wire"
+)
+
+const fence = "term"
+
+// writer is a leader that writes records on the versions that it takes them to have,
+// with a user who changes an open record from time to time.
+type writer struct {
+	t        *testing.T
+	rng      *rand.Rand
+	state    *standin.State
+	client   *statestore.Client
+	versions map[string]uint64 // as the writer believes
+	executed map[int]int       // how often each transaction was carried out, by number
+	outcome  map[int]error     // what the writer was told of it
+	number   int               // of the transaction under way
+}
+
+func newWriter(t *testing.T, seed uint64) *writer {
+	w := &writer{t: t, rng: rand.New(rand.NewPCG(seed, 3)), state: standin.NewState(),
+		versions: map[string]uint64{}, executed: map[int]int{}, outcome: map[int]error{}}
+	network := standin.NewNetwork(seed)
+	network.Listen("state", "state:1", w.state)
+	limits := config.State{StateLimits: config.StateLimits{ValueKB: 32, TxnOps: 20}}
+	w.client = statestore.New("state:1", network.From(t.Context(), "leader"), wire.NewComplaints(slog.New(slog.DiscardHandler)), limits)
+	w.state.OnCommit = func(txn *wire.Commit) {
+		for _, guard := range txn.Guards {
+			var number int
+			if _, err := fmt.Sscanf(guard.Key, "number/%d", &number); err == nil {
+				w.executed[number]++
+			}
+		}
+	}
+	w.newTerm()
+	return w
+}
+
+// newTerm makes copies of all earlier transactions fail, and reads the versions.
+func (w *writer) newTerm() {
+	w.state.Put(fence, w.number)
+	w.versions = map[string]uint64{}
+	items, err := w.client.ListAll(w.t.Context(), "")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for _, item := range items.Items {
+		w.versions[item.Key] = item.Version
+	}
+}
+
+// readOpen reads the version of the record that the user changes too.
+func (w *writer) readOpen() {
+	item, err := w.client.Get(w.t.Context(), "open")
+	if err != nil && !errors.Is(err, statestore.ErrNotFound) {
+		w.t.Fatal(err)
+	}
+	w.versions["open"] = item.Version
+}
+
+// transaction rewrites some records, closes a job whose open record the user changes as
+// well, or does both.
+func (w *writer) transaction() wire.Commit {
+	w.number++
+	txn := wire.Commit{Guards: []wire.Guard{{Key: fence, Version: w.versions[fence]}, {Key: fmt.Sprint("number/", w.number)}}}
+	guard := func(key string) {
+		txn.Guards = append(txn.Guards, wire.Guard{Key: key, Version: w.versions[key]})
+	}
+	for i := range 3 {
+		if key := fmt.Sprint("run/", i); w.rng.IntN(2) == 0 {
+			guard(key)
+			txn.Changes = append(txn.Changes, wire.Change{Set: key, Value: w.number})
+		}
+	}
+	if w.versions["open"] > 0 && w.rng.IntN(2) == 0 {
+		final := fmt.Sprint("final/", w.versions["open"])
+		guard("open")
+		guard(final)
+		txn.Changes = append(txn.Changes, wire.Change{Delete: "open"}, wire.Change{Set: final, Value: w.number})
+	}
+	return txn
+}
+
+// learn takes in that a transaction was carried out.
+func (w *writer) learn(txn *wire.Commit, revision uint64) {
+	for _, change := range txn.Changes {
+		if change.Delete != "" {
+			delete(w.versions, change.Delete)
+		} else {
+			w.versions[change.Set] = revision
+		}
+	}
+}
+
+// step writes one transaction and goes on by what it was told.
+func (w *writer) step() {
+	if w.versions["open"] == 0 {
+		w.state.Put("open", "a job")
+		w.newTerm()
+	}
+	txn := w.transaction()
+	if len(txn.Changes) == 0 {
+		return
+	}
+	if w.rng.IntN(3) == 0 { // its user cancels it meanwhile
+		go func() {
+			time.Sleep(time.Duration(w.rng.IntN(400)) * time.Millisecond)
+			if w.state.Value("open") != nil {
+				w.state.Put("open", "cancelled")
+			}
+		}()
+	}
+	ctx, cancel := context.WithTimeout(w.t.Context(), time.Minute)
+	defer cancel()
+	reply, err := w.client.Apply(ctx, txn, fence)
+	time.Sleep(time.Second)
+	w.outcome[w.number] = err
+	switch {
+	case err == nil:
+		if w.executed[w.number] != 1 {
+			w.t.Errorf("transaction %d is said to be carried out, and was %d times", w.number, w.executed[w.number])
+		}
+		w.learn(&txn, reply.Revision)
+	case errors.Is(err, statestore.ErrConflict):
+		w.readOpen() // as an event tells; all else is as it was believed to be
+	case errors.Is(err, statestore.ErrInDoubt):
+		w.newTerm()
+	}
+	for key, version := range w.versions {
+		if item, err := w.client.Get(w.t.Context(), key); key != "open" && (err != nil || item.Version != version) {
+			w.t.Fatalf("%s has version %d and not %d after transaction %d, %v", key, item.Version, version, w.number, w.outcome[w.number])
+		}
+	}
+}
+
+// Whatever happens to a transaction and its answers, what its writer is told holds for
+// good: it was carried out once, or never and never will be, or that is not known. A
+// first try that was carried out unanswered, and refused for the limits when sent again,
+// was reported as not carried out; tasks ran then that no record named.
+func TestApplyTellsTheTruth(t *testing.T) {
+	inDoubt, conflicts := 0, 0
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWriter(t, seed)
+			w.state.Fault = func(*wire.Commit) standin.Fault {
+				return []standin.Fault{standin.None, standin.None, standin.None, standin.AnswerLost,
+					standin.NotExecuted, standin.OverLimit, standin.Throttled}[w.rng.IntN(7)]
+			}
+			w.state.Late = func() time.Duration {
+				if w.rng.IntN(6) > 0 {
+					return 0
+				}
+				return time.Duration(100+w.rng.IntN(10000)) * time.Millisecond
+			}
+			for range 40 {
+				w.step()
+			}
+			time.Sleep(time.Minute) // what is late has come
+			for number, err := range w.outcome {
+				switch {
+				case errors.Is(err, statestore.ErrInDoubt):
+					inDoubt++
+				case err == nil:
+				case errors.Is(err, statestore.ErrConflict):
+					conflicts++
+					fallthrough
+				default:
+					if w.executed[number] > 0 {
+						t.Errorf("transaction %d was carried out, and its writer told %v", number, err)
+					}
+				}
+			}
+		})
+	}
+	if inDoubt < 10 || conflicts < 10 {
+		t.Errorf("only %d transactions were in doubt and %d in conflict", inDoubt, conflicts)
+	}
+}
+
+// pages answers lists with pages made up by a function of the last key before.
+type pages func(after string) wire.Items
+
+// A list of several pages that breaks off, comes again or goes back is no list: records
+// that are missing in it would be taken for closed jobs, and their pieces deleted.
+func TestListAll(t *testing.T) {
+	row := func(keys ...string) (out []wire.Item) {
+		for _, key := range keys {
+			out = append(out, wire.Item{Key: key, Version: 1})
+		}
+		return out
+	}
+	for _, b := range []struct {
+		name  string
+		pages pages
+		want  int // -1: an error
+	}{
+		{"one page", func(string) wire.Items { return wire.Items{Items: row("a", "b"), Revision: 5} }, 2},
+		{"none", func(string) wire.Items { return wire.Items{Revision: 5} }, 0},
+		{"two pages", func(after string) wire.Items {
+			if after == "b" {
+				return wire.Items{Items: row("c"), Revision: 6}
+			}
+			return wire.Items{Items: row("a", "b"), More: true, Revision: 5}
+		}, 3},
+		{"an empty page before the end", func(after string) wire.Items {
+			if after == "b" {
+				return wire.Items{More: true, Revision: 6}
+			}
+			return wire.Items{Items: row("a", "b"), More: true, Revision: 5}
+		}, -1},
+		{"the same page again", func(string) wire.Items { return wire.Items{Items: row("a", "b"), More: true, Revision: 5} }, -1},
+		{"out of order", func(string) wire.Items { return wire.Items{Items: row("b", "a"), Revision: 5} }, -1},
+	} {
+		all, err := statestore.New("state:1", b.pages, wire.NewComplaints(slog.New(slog.DiscardHandler)), config.State{}).ListAll(t.Context(), "")
+		if (err != nil) != (b.want < 0) || (err == nil && (len(all.Items) != b.want || all.Revision != 5)) {
+			t.Errorf("%s: %d records at %d, %v", b.name, len(all.Items), all.Revision, err)
+		}
+	}
+}
+
+func (p pages) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, err := wire.Marshal(p(r.URL.Query().Get("after")))
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}, nil
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -122,14 +122,33 @@
 }
 
 // ListAll reads all keys with a prefix. The revision is the first page's: a
-// follow from it sees whatever changed between the pages.
+// follow from it sees whatever changed between the pages. A page that does not go on
+// where the last one ended is an error: what is missing would look like records that
+// do not exist.
 func (c *Client) ListAll(ctx context.Context, prefix string) (wire.Items, error) {
-	all, err := c.List(ctx, prefix, "", 1000)
-	for page := all; err == nil && page.More && len(page.Items) > 0; {
-		page, err = c.List(ctx, prefix, page.Items[len(page.Items)-1].Key, 1000)
+	var all wire.Items
+	for last := ""; ; {
+		page, err := c.List(ctx, prefix, last, tuning.StatePage)
+		if err != nil {
+			return wire.Items{}, err
+		}
+		if last == "" {
+			all.Revision = page.Revision
+		}
+		for _, item := range page.Items {
+			if item.Key <= last {
+				return wire.Items{}, fmt.Errorf("%w: key %q listed after %q", ErrUnknown, item.Key, last)
+			}
+			last = item.Key
+		}
 		all.Items = append(all.Items, page.Items...)
+		if !page.More {
+			return all, nil
+		}
+		if len(page.Items) == 0 {
+			return wire.Items{}, fmt.Errorf("%w: empty page with more to come", ErrUnknown)
+		}
 	}
-	return all, err
 }
 
 // Commit applies a transaction. On ErrConflict the reply names the guards. All
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -240,6 +240,9 @@
 	CloudBurst = 1.5
 	// CloudTick is the pause between cloud list calls, within the call budget.
 	CloudTick = 3 * time.Second
+	// StatePage is how many keys a page of a list of the state service holds at most
+	// (PROTOCOL).
+	StatePage = 1000
 	// ListShare is the part of the calls that may be made that goes into lists.
 	ListShare = 0.25
 	// CatalogEvery refreshes prices; they move slowly.
@@ -340,6 +343,8 @@
 	LateLogEvery = 10 * time.Second
 	// StatusEvery is how often the summary for the status page is made.
 	StatusEvery = 1 * time.Second
+	// UnknownShown is how many tasks that no record names are on the status page.
+	UnknownShown = 20
 	// EstimatorWeight is the weight of the newest run in a class's average.
 	EstimatorWeight = 0.2
 	// EstimatorMin is how many completed tasks PAPER's recent average needs.
