Keep cancel_s for the end of a chain however long it is, without a leader

Reproduced: TestCancelledLongChainWithoutLeader (a chain of 150 jobs and one of three levels of 32) broke orphaned at every node: a job was called queued later than cancel_s after its user was told that one before it is cancelled. Cause: not more than 64 jobs were read for an answer, and what lay beyond was left to a leader, who may be cut off or not there.

Beyond 64 reads a node now reads all open jobs at once, in a few pages, and goes through the chain in memory. What is over is read one by one, 64 for an answer, and remembered; as long as not all was looked at nothing is taken for known.

--- a/dependencies_test.go
+++ b/dependencies_test.go
@@ -130,10 +130,7 @@
 		c.submit(sweep(1, "stage", 2), 1000)
 		c.submit(after(sweep(2, "stage", 1), refs[0]), 5)
 		c.submit(after(sweep(3, "stage", 1), refs[1]), 5)
-		// All controllers take a node for the leader that is none.
-		c.w.State.Put(ledger.KeyTerm, ledger.Term{N: 99, Node: "gone"})
-		c.w.State.Put(ledger.KeyLeader, ledger.Term{N: 99, Node: "gone"})
-		c.until("nobody leads", time.Minute, func() bool { return c.leader() == "" })
+		c.leaderless()
 		c.w.Withdraw(refs[0])
 		time.Sleep(time.Duration(dep.Workers.CancelS) * time.Second)
 		for _, addr := range slices.Clone(c.w.Nodes) {
@@ -150,6 +147,52 @@
 	})
 }
 
+// leaderless makes all controllers take a node for the leader that is none.
+func (c *cluster) leaderless() {
+	c.t.Helper()
+	c.w.State.Put(ledger.KeyTerm, ledger.Term{N: 99, Node: "gone"})
+	c.w.State.Put(ledger.KeyLeader, ledger.Term{N: 99, Node: "gone"})
+	c.until("nobody leads", time.Minute, func() bool { return c.leader() == "" })
+}
+
+// The same at the end of a chain that is far longer, and of one far wider, than what is
+// read job by job for an answer.
+func TestCancelledLongChainWithoutLeader(t *testing.T) {
+	dep := deployment()
+	dep.Teams[0].CoresMax = 2 // no job begins beside the first
+	runIn(t, 65, nodeNames, dep, func(c *cluster) {
+		c.submit(sweep(1, "stage", 2), 1000)
+		deep, wide := 150, 3
+		for i := 2; i <= deep; i++ {
+			c.submit(after(sweep(i, "stage", 1), jobID(i-1)), 5)
+		}
+		before := []string{jobID(1)}
+		for level := range wide {
+			var names []string
+			for i := range 32 {
+				j := after(sweep(1000+100*level+i, "stage", 1), before...)
+				c.submit(j, 5)
+				names = append(names, j.ID)
+			}
+			before = names
+		}
+		last := after(sweep(2000, "stage", 1), before...)
+		c.submit(last, 5)
+		c.w.State.PageMost = 40
+		c.leaderless()
+		c.w.Withdraw(jobID(1))
+		time.Sleep(time.Duration(dep.Workers.CancelS) * time.Second)
+		for _, addr := range slices.Clone(c.w.Nodes) {
+			c.w.Asked = []string{addr}
+			for _, ref := range []string{jobID(deep), last.ID, jobID(deep / 2), before[5]} {
+				if got := c.phase(ref); got != wire.PhaseCancelled {
+					t.Errorf("%s is %s at %s", ref, got, addr)
+				}
+			}
+		}
+	})
+}
+
 // A dependency whose records can't be read leaves the job waiting: it neither starts
 // nor is forgotten nor called done.
 func TestUnreadableDependency(t *testing.T) {
--- a/internal/api/dependencies.go
+++ b/internal/api/dependencies.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"marblehaven/internal/ledger"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
 )
@@ -23,71 +24,150 @@
 // dependencies finds out about the jobs that a job waits for, and those that these
 // wait for, as far as they are open, and returns the time that this is known for:
 // what was read here shortly before is not read again. That one is cancelled is never
-// undone, so it holds for good. Not more than tuning.DependencyReads jobs are read:
-// what lies beyond is left to the leader, which knows all open jobs.
+// undone, so it holds for good. The time is zero if not all could be looked at: what is
+// left out is read for the next answer, and the leader knows all open jobs.
 func (u *Users) dependencies(ctx context.Context, refs []string) (state dependencyState, asOf time.Time, err error) {
-	asOf = time.Now()
-	seen := map[string]bool{}
-	var open []string
+	w := &dependencyWalk{Users: u, asOf: time.Now(), seen: map[string]bool{}}
 	for direct := true; len(refs) > 0; direct = false {
-		var level []string
-		for _, ref := range unseen(refs, seen, tuning.DependencyReads) {
-			if at, ok := u.openAsOf(ref); !ok {
-				level = append(level, ref)
-			} else if at.Before(asOf) {
-				asOf = at
-			}
+		jobs, err := w.findLevel(ctx, refs)
+		if err != nil {
+			return dependencyOpen, w.asOf, err
 		}
-		refs = nil
-		jobs := u.findAll(ctx, level)
 		// Whether all were accepted comes first: that one of them is cancelled says
 		// nothing of the others.
 		if direct && slices.ContainsFunc(jobs, found.neverAccepted) {
-			return dependencyUnknown, asOf, nil
+			return dependencyUnknown, w.asOf, nil
 		}
-		for i, f := range jobs {
+		refs = nil
+		for _, f := range jobs {
+			cancelled, err := w.take(f)
 			switch {
-			case errors.Is(f.err, errUnreadable):
-				u.Log.Error("dependency", "err", f.err) // the job waits
-			case f.err != nil:
-				return dependencyOpen, asOf, f.err
-			case f.job == nil:
-				u.Log.Error("dependency of a dependency without record", "job", level[i]) // the job waits
-			case f.job.status.Phase == wire.PhaseCancelled:
-				return dependencyCancelled, asOf, nil
-			case f.job.ver != 0:
-				open = append(open, level[i])
+			case err != nil:
+				return dependencyOpen, w.asOf, err
+			case cancelled:
+				return dependencyCancelled, w.asOf, nil
+			case f.isOpen():
 				refs = append(refs, f.job.open.Job.Awaits...)
 			}
 		}
 	}
-	if len(seen) < tuning.DependencyReads { // all were looked at
-		for _, ref := range open {
-			u.confirmOpen(ref, asOf)
-		}
+	if w.leftOut {
+		return dependencyOpen, time.Time{}, nil
 	}
-	return dependencyOpen, asOf, nil
+	for _, ref := range w.open {
+		u.confirmOpen(ref, w.asOf)
+	}
+	return dependencyOpen, w.asOf, nil
+}
+
+// dependencyWalk goes through the jobs that a job needs, level by level.
+type dependencyWalk struct {
+	*Users
+	asOf time.Time       // what is found holds for this time
+	seen map[string]bool // jobs that were met
+	open []string        // of them, those that are open
+	// single counts the jobs that were read one by one. Beyond
+	// tuning.DependencyReads all open jobs are read at once, into openJobs, and what is
+	// not among these one by one again, as many.
+	single   int
+	openJobs map[string]ledger.OpenJob
+	leftOut  bool // not all that is over could be read
 }
 
-// unseen picks the jobs that were not seen yet, as long as not more than most have
-// been in all, and marks them as seen.
-func unseen(refs []string, seen map[string]bool, most int) []string {
-	var out []string
+// findLevel finds the jobs among those named that were not met before and that this
+// node does not know to be open.
+func (w *dependencyWalk) findLevel(ctx context.Context, refs []string) ([]found, error) {
+	var level []string
 	for _, ref := range refs {
-		if !seen[ref] && len(seen) < most {
-			seen[ref] = true
-			out = append(out, ref)
+		if w.seen[ref] {
+			continue
+		}
+		w.seen[ref] = true
+		if at, ok := w.openAsOf(ref); !ok {
+			level = append(level, ref)
+		} else if at.Before(w.asOf) {
+			w.asOf = at
 		}
 	}
-	return out
+	if w.openJobs == nil && w.single+len(level) > tuning.DependencyReads {
+		if err := w.readOpenJobs(ctx); err != nil {
+			return nil, err
+		}
+	}
+	var out []found
+	var read []string
+	for _, ref := range level {
+		if open, ok := w.openJobs[ref]; ok {
+			out = append(out, found{ref: ref, job: &known{ver: openVersion, open: open, status: openStatus(ref, &open)}})
+		} else if w.single < tuning.DependencyReads {
+			w.single++
+			read = append(read, ref)
+		} else {
+			w.leftOut = true
+		}
+	}
+	return append(out, w.findAll(ctx, read)...), nil
+}
+
+// readOpenJobs reads all open jobs at once: a long chain takes as many reads one by one.
+func (w *dependencyWalk) readOpenJobs(ctx context.Context) error {
+	items, err := w.Store.ListAll(ctx, ledger.PrefixOpen)
+	if err != nil {
+		return err
+	}
+	w.openJobs, w.single = map[string]ledger.OpenJob{}, 0
+	for _, item := range items.Items {
+		ref, piece := ledger.SplitOpen(item.Key)
+		if piece != ledger.NoPiece {
+			continue
+		}
+		var open ledger.OpenJob
+		if err := wire.Unmarshal(item.Value, &open); err != nil {
+			open = ledger.OpenJob{Cancelled: ledger.SaysCancelled(item.Value)}
+		}
+		w.openJobs[ref] = open
+	}
+	return nil
+}
+
+// take draws the conclusions from a job that was found.
+func (w *dependencyWalk) take(f found) (cancelled bool, err error) {
+	switch {
+	case errors.Is(f.err, errUnreadable):
+		w.Log.Error("dependency", "err", f.err) // the job waits
+	case f.err != nil:
+		return false, f.err
+	case f.job == nil:
+		w.Log.Error("dependency of a dependency without record", "job", f.ref) // the job waits
+	case f.job.status.Phase == wire.PhaseCancelled:
+		return true, nil
+	case f.isOpen():
+		w.open = append(w.open, f.ref)
+	}
+	return false, nil
+}
+
+// openVersion stands for the version of an open record that was read only to be known.
+const openVersion = 1
+
+// openStatus is the phase of an open job, as far as its own record says.
+func openStatus(ref string, open *ledger.OpenJob) wire.JobStatus {
+	status := wire.JobStatus{ID: ref, Phase: wire.PhaseQueued}
+	if open.Cancelled {
+		status.Phase = wire.PhaseCancelled
+	}
+	return status
 }
 
 // found is what a job was found to be, or why it could not be read.
 type found struct {
+	ref string
 	job *known
 	err error
 }
 
+func (f found) isOpen() bool { return f.job != nil && f.job.ver != 0 }
+
 func (f found) neverAccepted() bool { return f.err == nil && f.job == nil }
 
 // findAll reads some jobs at the same time.
@@ -95,6 +175,7 @@
 	out := make([]found, len(refs))
 	var wg sync.WaitGroup
 	for i, ref := range refs {
+		out[i].ref = ref
 		wg.Go(func() { out[i].job, out[i].err = u.find(ctx, ref) })
 	}
 	wg.Wait()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -155,8 +155,9 @@
 	// fit in its record, with ids of the largest form in 30 bytes each, and in
 	// one transaction's conditions. Pipelines have a handful.
 	DependenciesMost = 32
-	// DependencyReads bounds the jobs that are read to answer for one job that
-	// waits for others: a few pipelines' worth, within a second's requests.
+	// DependencyReads bounds the jobs that are read one by one to answer for one job
+	// that waits for others: a few pipelines' worth, within a second's requests. For
+	// more, all open jobs are read at once, which takes some pages.
 	DependencyReads = 64
 	// DependencyCheckShare is the part of cancel_s for which a node relies on what it
 	// last knew of a job and of those that it waits for: whoever was told that one of
