--- a/cluster_test.go
+++ b/cluster_test.go
@@ -48,13 +48,13 @@
 var testTypes = []wire.MachineType{
 	{Name: "small", Cores: 4, MemGB: 16, CacheGB: 40, FetchGBps: 1, Price: 0.2, SpotPrice: 0.06, BootS: 20, Zones: []string{"a", "b"}},
 	{Name: "big", Cores: 16, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 1, SpotPrice: 0.3, BootS: 25, Zones: []string{"a", "b"}},
-	{Name: "card", Cores: 16, Cards: 4, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 9, SpotPrice: 3, BootS: 25, Zones: []string{"a", "b"}},
+	{Name: "card", Cores: 16, GPUs: 4, MemGB: 64, CacheGB: 40, FetchGBps: 1, Price: 9, SpotPrice: 3, BootS: 25, Zones: []string{"a", "b"}},
 }
 
 func deployment() config.Deployment {
 	var d config.Deployment
 	d.Count, d.Zones = 3, []string{"a", "b"}
-	d.Teams = []config.Team{{Name: "red", Cores: 16, CoresMax: 40, Cards: 4, CardsMax: 8}, {Name: "blue", Cores: 16, CoresMax: 40}}
+	d.Teams = []config.Team{{Name: "red", Cores: 16, CoresMax: 40, GPUs: 4, GPUsMax: 8}, {Name: "blue", Cores: 16, CoresMax: 40}}
 	d.Workers = config.Workers{ReportS: 2.5, LeaseS: 12, GangWaitS: 35, GangPeerS: 4, CancelS: 37}
 	d.State = config.State{StateLimits: config.StateLimits{RPS: 250, WriteRPS: 50, ValueKB: 32, TxnOps: 20}}
 	d.Cloud = config.Cloud{RPS: 4, ListLagS: 10}
@@ -264,7 +264,7 @@
 
 func gang(n, tasks int) wire.Job {
 	j := sweep(n, "train", tasks)
-	j.Shape, j.Rank, j.OneZone, j.Cards, j.Cores, j.CheckpointS, j.SaveS = wire.Gang, wire.High, true, 2, 4, 10, 2
+	j.Shape, j.Rank, j.OneZone, j.GPUs, j.Cores, j.CheckpointS, j.SaveS = wire.Gang, wire.High, true, 2, 4, 10, 2
 	return j
 }
 
--- a/dependencies_test.go
+++ b/dependencies_test.go
@@ -26,7 +26,7 @@
 		return j
 	}
 	join := gang(first+3, 2)
-	join.Cards, join.Cores, join.Rank = 0, 2, wire.Standard
+	join.GPUs, join.Cores, join.Rank = 0, 2, wire.Standard
 	last := small(4, 2, wire.High)
 	last.DeadlineS = 200
 	jobs := []wire.Job{
--- a/internal/api/acks_test.go
+++ b/internal/api/acknowledged_test.go
@@ -16,7 +16,7 @@
 func TestAcknowledgedIsComplete(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(1, 2))
-		a := newAcknowledged(time.Now())
+		a := newAcknowledgedJobs(time.Now())
 		first := map[string]time.Time{}
 		dropped := false
 		for range 4 * tuning.AckJobs {
--- a/internal/api/dependencies.go
+++ b/internal/api/dependencies.go
@@ -98,7 +98,7 @@
 	var read []string
 	for _, ref := range level {
 		if open, ok := w.openJobs[ref]; ok {
-			out = append(out, found{ref: ref, job: &known{ver: openVersion, open: open, status: openStatus(ref, &open)}})
+			out = append(out, found{ref: ref, job: &known{version: openVersion, open: open, status: openStatus(ref, &open)}})
 		} else if w.single < tuning.DependencyReads {
 			w.single++
 			read = append(read, ref)
@@ -166,7 +166,7 @@
 	err error
 }
 
-func (f found) isOpen() bool { return f.job != nil && f.job.ver != 0 }
+func (f found) isOpen() bool { return f.job != nil && f.job.version != 0 }
 
 func (f found) neverAccepted() bool { return f.err == nil && f.job == nil }
 
@@ -188,7 +188,7 @@
 func (u *Users) current(ctx context.Context, ref string) (*known, error) {
 	start := time.Now()
 	k, err := u.find(ctx, ref)
-	if err != nil || k == nil || k.ver == 0 || k.open.Cancelled {
+	if err != nil || k == nil || k.version == 0 || k.open.Cancelled {
 		return k, err
 	}
 	if len(k.open.Job.Awaits) == 0 {
--- a/internal/api/lookup.go
+++ b/internal/api/lookup.go
@@ -16,10 +16,10 @@
 
 // known is a job as found in the state service.
 type known struct {
-	status wire.JobStatus
-	open   ledger.OpenJob
-	ver    uint64 // of the open record; 0: the job is over
-	broken bool   // its open record cannot be read, so it cannot be rewritten
+	status  wire.JobStatus
+	open    ledger.OpenJob
+	version uint64 // of the open record; 0: the job is over
+	broken  bool   // its open record cannot be read, so it cannot be rewritten
 }
 
 // find reads a job; nil means that it was never accepted. The final record is
@@ -46,7 +46,7 @@
 
 // openJob makes of an open job's records what its user may be told.
 func (u *Users) openJob(ref string, items []wire.Item) *known {
-	k := &known{ver: items[0].Version, status: wire.JobStatus{ID: ref, Phase: wire.PhaseQueued}}
+	k := &known{version: items[0].Version, status: wire.JobStatus{ID: ref, Phase: wire.PhaseQueued}}
 	if err := wire.Unmarshal(items[0].Value, &k.open); err != nil {
 		// That the record is there says that the job was accepted. Refusing
 		// to answer would make it forgotten.
@@ -69,7 +69,7 @@
 	}
 	if k.open.Cancelled {
 		k.status.Phase = wire.PhaseCancelled
-		u.acks.add(ref)
+		u.acknowledged.add(ref)
 	}
 	return k
 }
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -34,23 +34,23 @@
 	Store  *statestore.Client
 	Log    *slog.Logger
 
-	types  atomic.Pointer[[]sched.Type]
-	acks   acknowledged
-	mu     sync.Mutex // guards finals and open
-	finals map[string]wire.JobStatus
-	open   map[string]time.Time // see confirmOpen
+	types        atomic.Pointer[[]sched.Type]
+	acknowledged acknowledgedJobs
+	mu           sync.Mutex // guards finals and open
+	finals       map[string]wire.JobStatus
+	open         map[string]time.Time // see confirmOpen
 }
 
 // NewUsers makes the users' side of a node.
 func NewUsers(c *config.Config, store *statestore.Client, log *slog.Logger) *Users {
-	return &Users{Config: c, Store: store, Log: log, acks: newAcknowledged(time.Now()), finals: map[string]wire.JobStatus{}, open: map[string]time.Time{}}
+	return &Users{Config: c, Store: store, Log: log, acknowledged: newAcknowledgedJobs(time.Now()), finals: map[string]wire.JobStatus{}, open: map[string]time.Time{}}
 }
 
 // SetTypes tells which machine types there are; before, nothing is accepted.
 func (u *Users) SetTypes(types []wire.MachineType) {
 	out := make([]sched.Type, len(types))
 	for i, t := range types {
-		out[i] = sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB}, Zones: t.Zones}
+		out[i] = sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, GPUs: t.GPUs, Mem: t.MemGB}, Zones: t.Zones}
 	}
 	u.types.Store(&out)
 }
@@ -60,7 +60,7 @@
 
 // Acknowledged names the jobs that users were told are cancelled, and since when
 // none is missing.
-func (u *Users) Acknowledged() (refs []string, since time.Time) { return u.acks.list() }
+func (u *Users) Acknowledged() (refs []string, since time.Time) { return u.acknowledged.list() }
 
 // answer is a user's answer; body is nil where only the status matters.
 type answer struct {
@@ -195,11 +195,7 @@
 // will have, so that it can be rewritten at any time.
 func (u *Users) fits(open ledger.OpenJob) error {
 	open.Cancelled = true // it may become so
-	raw, err := wire.Marshal(open)
-	if err != nil {
-		return err
-	}
-	size, err := wire.JSONSize(raw)
+	_, size, err := wire.Encode(open)
 	if err == nil && size > u.Config.Deployment.State.Smaller().ValueBytes() {
 		err = errors.New("the description is too long to be kept")
 	}
@@ -260,7 +256,7 @@
 	if j.Shape == wire.Array {
 		n = 1
 	}
-	if over(n*j.Cores, team.CoresMax) || over(n*j.Cards, team.CardsMax) {
+	if over(n*j.Cores, team.CoresMax) || over(n*j.GPUs, team.GPUsMax) {
 		return errors.New("the job needs more than its team's limit")
 	}
 	return nil
@@ -280,7 +276,7 @@
 			return answer{}, err
 		case k == nil:
 			return fault(404, errors.New("no such job")), nil
-		case k.ver == 0 || k.open.Cancelled:
+		case k.version == 0 || k.open.Cancelled:
 			return answer{status: 200, body: k.status}, nil
 		case k.broken:
 			return busy, nil
@@ -302,7 +298,7 @@
 		k.open.Job.Types, k.open.Job.Awaits = nil, nil
 	}
 	_, err := u.Store.Commit(ctx, wire.Commit{
-		Guards:  []wire.Guard{{Key: ledger.OpenKey(ref), Version: k.ver}},
+		Guards:  []wire.Guard{{Key: ledger.OpenKey(ref), Version: k.version}},
 		Changes: []wire.Change{{Set: ledger.OpenKey(ref), Value: k.open}},
 	})
 	if errors.Is(err, statestore.ErrConflict) {
@@ -311,7 +307,7 @@
 	if err != nil {
 		return err
 	}
-	u.acks.add(ref)
+	u.acknowledged.add(ref)
 	u.forgetOpen(ref)
 	k.status.Phase = wire.PhaseCancelled
 	return nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,8 +27,8 @@
 	Name     string  `json:"name"`
 	Cores    float64 `json:"cpus"`
 	CoresMax float64 `json:"cpus_max"`
-	Cards    float64 `json:"gpus"`
-	CardsMax float64 `json:"gpus_max"`
+	GPUs     float64 `json:"gpus"`
+	GPUsMax  float64 `json:"gpus_max"`
 }
 
 // Objective is an aim on starting or finishing the jobs of a class.
@@ -237,7 +237,7 @@
 			return fmt.Errorf("field deployment.teams[%d].name: missing or repeated", i)
 		}
 		seen[t.Name] = true
-		if t.Cores < 0 || t.CoresMax < 0 || t.Cards < 0 || t.CardsMax < 0 {
+		if t.Cores < 0 || t.CoresMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
 			return fmt.Errorf("field deployment.teams[%d]: negative amount", i)
 		}
 	}
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"marblehaven/internal/fleet"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/statestore"
@@ -189,7 +187,7 @@
 	if j.cancelled {
 		final.Phase = wire.PhaseCancelled
 	}
-	b.guard(ledger.OpenKey(j.ref), j.openVer)
+	b.guard(ledger.OpenKey(j.ref), j.openVersion)
 	b.remove(ledger.OpenKey(j.ref))
 	b.guard(ledger.FinalKey(j.ref), 0)
 	b.put(ledger.FinalKey(j.ref), final, smallRecordBytes)
@@ -208,13 +206,12 @@
 
 // addPiece writes a piece of a job's run record.
 func (c *Controller) addPiece(b *batch, j *job, number int, now time.Time) {
-	record, err := wire.Marshal(j.record(number))
+	record, size, err := wire.Encode(j.record(number))
 	if err != nil {
 		c.Log.Error("encoding a run record", "job", j.ref, "err", err)
 		return
 	}
-	size, err := wire.JSONSize(record)
-	if err != nil || size > c.Store.ValueBytes() {
+	if size > c.Store.ValueBytes() {
 		c.onRecordTooLarge(j, number, now)
 		return
 	}
@@ -234,9 +231,9 @@
 	}
 	p := j.piece(number)
 	key := ledger.PieceKey(j.ref, number)
-	b.guard(ledger.OpenKey(j.ref), j.openVer)
+	b.guard(ledger.OpenKey(j.ref), j.openVersion)
 	b.guard(key, p.version)
-	b.put(key, msgpack.RawMessage(record), size)
+	b.put(key, record, size)
 	b.runs = append(b.runs, w)
 	p.dirty, p.urgent = false, false
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -163,8 +163,8 @@
 	summarized  time.Time
 	lateLogged  time.Time
 	status      Status
-	cardRank    int // see sched.Snapshot
-	cardNeed    sched.Res
+	gpuRank     int // see sched.Snapshot
+	gpuNeed     sched.Res
 }
 
 type offer struct {
@@ -188,7 +188,7 @@
 		// after a takeover all workers report at once.
 		inbox: make(chan any, d.Config.Deployment.Sockets(len(d.Config.Peers)).Incoming),
 		jobs:  map[string]*job{}, machines: map[string]*fleet.Machine{}, gone: map[string]time.Time{}, closed: map[string]time.Time{}, hints: map[string]*ledger.Hint{}, touched: map[*fleet.Machine]bool{},
-		floor: floor, cardRank: -1, claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
+		floor: floor, gpuRank: -1, claims: map[string]*claim{}, refused: map[offer]*refusal{}, typeIdx: map[string]int{},
 		est:     estimator{off: d.Config.Operator.Estimator == "user", classes: map[string]*classRuns{}},
 		writes:  rate.NewLimiter(rate.Limit(wr), max(int(wr), limits.TxnOps)),
 		format:  ledger.FormatWhole,
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -14,12 +14,12 @@
 
 // job is an open job as the leader knows it.
 type job struct {
-	ref       string
-	desc      wire.Job
-	at        time.Time // time of day of acceptance
-	cancelled bool
-	openVer   uint64
-	pieces    []piece // of its run record, by number; see piece
+	ref         string
+	desc        wire.Job
+	at          time.Time // time of day of acceptance
+	cancelled   bool
+	openVersion uint64
+	pieces      []piece // of its run record, by number; see piece
 
 	waitsFor map[string]bool // dependencies that are not known to be done
 	readyAt  time.Time       // when the last dependency was done; without any, at
@@ -41,9 +41,9 @@
 	seenAt       time.Time // when the leader learnt of it
 }
 
-func newJob(ref string, o *ledger.OpenJob, ver uint64, now time.Time) *job {
+func newJob(ref string, o *ledger.OpenJob, version uint64, now time.Time) *job {
 	at := time.UnixMilli(o.AtMS)
-	return &job{ref: ref, desc: o.Job, at: at, readyAt: at, cancelled: o.Cancelled, openVer: ver,
+	return &job{ref: ref, desc: o.Job, at: at, readyAt: at, cancelled: o.Cancelled, openVersion: version,
 		next: 1, live: map[int]*fleet.Placement{}, pendingDone: map[int]bool{}, seenAt: now}
 }
 
--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -178,7 +178,7 @@
 		}
 		o := ledger.OpenJob{AtMS: now.UnixMilli(), Job: named.desc, Cancelled: true}
 		b, _ := wire.Marshal(o)
-		c.setOpen(ledger.OpenKey(named.ref), b, named.openVer+1, late)
+		c.setOpen(ledger.OpenKey(named.ref), b, named.openVersion+1, late)
 		c.commit(late)
 		isNamed := func(cl closing) bool { return cl.job == named }
 		if c.inCommit == nil || !slices.ContainsFunc(c.inCommit.closed, isNamed) {
@@ -194,7 +194,7 @@
 	c, now := large(0, 1)
 	j := c.jobs["req-000000"]
 	raw, _ := wire.Marshal(ledger.OpenJob{AtMS: now.UnixMilli(), Job: j.desc})
-	record := wire.Item{Key: ledger.OpenKey(j.ref), Value: raw, Version: j.openVer}
+	record := wire.Item{Key: ledger.OpenKey(j.ref), Value: raw, Version: j.openVersion}
 	reading := eventsMsg{events: []wire.Event{{Set: record.Key, Value: raw, Version: record.Version}}, asOf: now.Add(time.Second)}
 	c.lookingUp, c.lookupBegan = true, now.Add(time.Second)
 	c.onClosed(closing{j, ledger.Final{Phase: wire.PhaseDone, AtMS: now.UnixMilli()}}, now.Add(2*time.Second))
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -153,7 +153,7 @@
 }
 
 // setOpen takes in an open job's record.
-func (c *Controller) setOpen(key string, value []byte, ver uint64, now time.Time) {
+func (c *Controller) setOpen(key string, value []byte, version uint64, now time.Time) {
 	ref, _ := ledger.SplitOpen(key)
 	j := c.jobs[ref]
 	var o ledger.OpenJob
@@ -163,13 +163,13 @@
 		return
 	}
 	if j != nil {
-		c.onRewritten(j, &o, ver, now)
+		c.onRewritten(j, &o, version, now)
 		return
 	}
 	if _, over := c.closed[ref]; over {
 		return // read before it was closed
 	}
-	c.addJob(ref, &o, ver, now)
+	c.addJob(ref, &o, version, now)
 }
 
 // forgetClosed drops the closed jobs that no reading still under way can name: a
@@ -195,24 +195,24 @@
 	c.cancelDependents(ref, now)
 }
 
-func (c *Controller) onRewritten(j *job, o *ledger.OpenJob, ver uint64, now time.Time) {
-	if ver <= j.openVer {
+func (c *Controller) onRewritten(j *job, o *ledger.OpenJob, version uint64, now time.Time) {
+	if version <= j.openVersion {
 		return
 	}
-	j.openVer, j.recordBehind = ver, false
+	j.openVersion, j.recordBehind = version, false
 	if o.Cancelled && !j.cancelled {
 		c.cancelJob(j, now)
 	}
 }
 
-func (c *Controller) addJob(ref string, o *ledger.OpenJob, ver uint64, now time.Time) {
-	j := newJob(ref, o, ver, now)
+func (c *Controller) addJob(ref string, o *ledger.OpenJob, version uint64, now time.Time) {
+	j := newJob(ref, o, version, now)
 	c.jobs[ref] = j
 	c.changed = true
 	c.Log.Debug("job known", "job", ref, "class", o.Job.Class, "tasks", o.Job.Tasks, "age", now.Sub(j.at))
 	c.addDependencies(j, now)
-	if n := j.need(); n.Cards > 0 {
-		c.cardRank = max(c.cardRank, j.rank())
-		c.cardNeed = sched.Res{Cores: max(c.cardNeed.Cores, n.Cores), Cards: max(c.cardNeed.Cards, n.Cards), Mem: max(c.cardNeed.Mem, n.Mem)}
+	if n := j.need(); n.GPUs > 0 {
+		c.gpuRank = max(c.gpuRank, j.rank())
+		c.gpuNeed = sched.Res{Cores: max(c.gpuNeed.Cores, n.Cores), GPUs: max(c.gpuNeed.GPUs, n.GPUs), Mem: max(c.gpuNeed.Mem, n.Mem)}
 	}
 }
--- a/internal/controller/pass.go
+++ b/internal/controller/pass.go
@@ -12,10 +12,6 @@
 	"marblehaven/internal/wire"
 )
 
-func (c *Controller) silence() time.Duration {
-	return seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentReports)
-}
-
 // onTick does what depends on time alone.
 func (c *Controller) onTick(now time.Time) {
 	c.extendAuthority(now)
@@ -24,15 +20,38 @@
 		c.Resign()
 		return
 	}
-	var lost, stuck []*fleet.Machine
-	presumed := c.presumedLost(now)
-	lagging := 6 * seconds(c.Config.Deployment.Cloud.ListLagS)
+	c.forgetGone(now)
+	c.forgetClosed()
+	lost, stuck := c.reviewMachines(now)
+	c.dispatchAll(now)
+	c.planHandshakes(now)
+	c.returnNext(now)
+	// Slack is spent and idle machines age by time alone.
+	c.changed = true
+	c.giveBack(lost, "silent, taken or faulty", now)
+	c.giveBack(stuck, "never came up", now)
+	c.refreshList(now)
+	c.refreshCatalog(now)
+	c.callClaims(now)
+	c.lookUp(now)
+	c.saveHint(now)
+}
+
+// forgetGone drops the machines that were given back so long ago that no list names
+// them any more.
+func (c *Controller) forgetGone(now time.Time) {
+	lagging := tuning.ListLags * seconds(c.Config.Deployment.Cloud.ListLagS)
 	for id, at := range c.gone {
 		if now.Sub(at) > lagging {
 			delete(c.gone, id)
 		}
 	}
-	c.forgetClosed()
+}
+
+// reviewMachines ends what leases that are over held, and picks the machines that are
+// lost, and those that never came up.
+func (c *Controller) reviewMachines(now time.Time) (lost, stuck []*fleet.Machine) {
+	presumed := c.presumedLost(now)
 	for _, m := range c.machines {
 		if m.Session > m.Lapsed || len(m.Live) > 0 {
 			if ended := m.Lapse(now); len(ended) > 0 {
@@ -57,162 +76,42 @@
 			c.touched[m] = true
 		}
 	}
-	c.dispatchAll(now)
-	c.planHandshakes(now)
-	c.returnNext(now)
-	// Slack is spent and idle machines age by time alone.
-	c.changed = true
-	c.giveBack(lost, "silent, taken or faulty", now)
-	c.giveBack(stuck, "never came up", now)
-	if !c.listing && now.After(c.nextList) {
-		c.listing = true
-		c.nextList = now.Add(c.listPause())
-		go func() {
-			ms, err := c.Cloud.List(c.ctx)
-			c.send(listMsg{ms, err})
-		}()
-	}
-	if now.After(c.catalogAt) {
-		c.catalogAt = now.Add(tuning.CatalogEvery)
-		save := !c.loadedTypes
-		go func() {
-			types, err := c.Cloud.Catalog(c.ctx)
-			for err != nil && pause.For(c.ctx, tuning.MachineBackoff) {
-				types, err = c.Cloud.Catalog(c.ctx)
-			}
-			if err == nil {
-				c.send(catalogMsg{types})
-				if save {
-					c.saveCatalog(c.ctx, types)
-				}
-			}
-		}()
-	}
-	c.callClaims(now)
-	c.lookUp(now)
-	c.saveHint(now)
-}
-
-// unheard is how long a machine may be silent before it is asked after, or counts as
-// not heard.
-func (c *Controller) unheard() time.Duration {
-	return seconds(c.Config.Deployment.Workers.ReportS * tuning.UnheardReports)
+	return lost, stuck
 }
 
-// counts tells whether a machine is one that should be heard: it has been, or there
-// are tasks on it.
-func counts(m *fleet.Machine) bool { return !m.Leaving && (m.Up || len(m.Live) > 0) }
-
-// presumedLost picks silent machines whose tasks need not wait for the lease:
-// giving a machine back proves that they are gone. A machine whose notice is
-// over is one; so is one that answers no direct call either, sooner if production
-// or a gang waits for it, unless much of its zone is silent: then it is the link
-// that failed, and the work goes on there.
-func (c *Controller) presumedLost(now time.Time) map[*fleet.Machine]bool {
-	out := map[*fleet.Machine]bool{}
-	interval, unheard := seconds(c.Config.Deployment.Workers.ReportS), c.unheard()
-	var deaf, mute []*fleet.Machine
-	up := 0
-	inZone, silentIn := map[string]int{}, map[string]int{}
-	for _, m := range c.machines {
-		if !counts(m) {
-			continue
-		}
-		silent := now.Sub(m.LastReport)
-		if !m.Up {
-			silent = now.Sub(c.takeover) // it was heard by an earlier leader at best
-		}
-		inZone[m.Zone]++
-		if silent > interval {
-			silentIn[m.Zone]++ // sooner, so that a cut shows before any of it counts as lost
-		}
-		if silent > unheard && len(m.Live) > 0 {
-			mute = append(mute, m)
-		}
-		if m.Shown < c.token() {
-			continue
-		}
-		up++
-		switch {
-		case !m.NoticeEnd.IsZero() && now.After(m.NoticeEnd) && silent > unheard:
-			out[m] = true
-		case m.Deaf():
-			deaf = append(deaf, m)
-		}
-	}
-	lost := seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentLost)
-	for _, m := range mute {
-		if float64(silentIn[m.Zone]) > max(1, float64(inZone[m.Zone])*tuning.SilentZone) {
-			continue
-		}
-		long := now.Sub(m.LastReport) > lost && now.Sub(c.takeover) > lost
-		switch {
-		case m.Unanswered >= tuning.SilentCalls:
-			out[m] = long || c.urgent(m)
-		case m.Addr == "": // not listed either, so there is nothing to call
-			out[m] = long && c.listed
-		case !m.InFlight:
-			c.do(m, nil, lastSession(m), false, false)
-		}
-	}
-	// Machines whose reports come although nothing reaches them are as lost, but
-	// where they are many it is the link.
-	if len(deaf) <= max(1, int(float64(up)*tuning.DeafFew)) {
-		for _, m := range deaf {
-			out[m] = true
-		}
+// refreshList reads the list of machines when it is due.
+func (c *Controller) refreshList(now time.Time) {
+	if c.listing || !now.After(c.nextList) {
+		return
 	}
-	return out
+	c.listing = true
+	c.nextList = now.Add(c.listPause())
+	go func() {
+		machines, err := c.Cloud.List(c.ctx)
+		c.send(listMsg{machines, err})
+	}()
 }
 
-// urgent tells whether the machine has what should not wait for its lease: a
-// player-facing service, or a task of a gang, whose others can do nothing
-// meanwhile and whose machines stand idle.
-func (c *Controller) urgent(m *fleet.Machine) bool {
-	for k := range m.Live {
-		if j := c.jobs[k.Job]; j != nil && j.gang() && j.desc.Tasks > 1 {
-			return true
-		}
+// refreshCatalog reads the types of machines and their prices when that is due.
+func (c *Controller) refreshCatalog(now time.Time) {
+	if !now.After(c.catalogAt) {
+		return
 	}
-	return c.production(m)
-}
-
-// production tells whether the machine has player-facing services.
-func (c *Controller) production(m *fleet.Machine) bool {
-	for k := range m.Live {
-		if j := c.jobs[k.Job]; j != nil && j.rank() == 0 {
-			return true
+	c.catalogAt = now.Add(tuning.CatalogEvery)
+	save := !c.loadedTypes
+	go func() {
+		types, err := c.Cloud.Catalog(c.ctx)
+		for err != nil && pause.For(c.ctx, tuning.MachineBackoff) {
+			types, err = c.Cloud.Catalog(c.ctx)
 		}
-	}
-	return false
-}
-
-// cutOff tells whether this leader hears next to nothing of the machines although
-// the state service keeps it in its term. Their leases run out all together, while
-// another node may well hear them. It must have heard them before, or its peers
-// must hear more of them than it does: where the machines themselves are gone one
-// leader after another would leave, and none would ever learn that they are.
-func (c *Controller) cutOff(now time.Time) bool {
-	if now.Sub(c.confirmed()) > tuning.StartAuthority && now.After(c.fitSince) {
-		c.fitSince = now
-	}
-	span := c.unheard()
-	if now.Sub(c.fitSince) < span {
-		return false
-	}
-	known, heard := 0, 0
-	for _, m := range c.machines {
-		if !counts(m) {
-			continue
+		if err != nil {
+			return
 		}
-		known++
-		if m.Up && !m.Deaf() && now.Sub(m.LastHello) <= span {
-			heard++
+		c.send(catalogMsg{types})
+		if save {
+			c.saveCatalog(c.ctx, types)
 		}
-	}
-	c.heardMost = c.heardMost || 2*heard > known
-	return known >= tuning.UnheardLeast && float64(heard) < float64(known)*tuning.HeardShare &&
-		(c.heardMost || c.Redirected() > max(heard, tuning.UnheardLeast))
+	}()
 }
 
 // drain saves in time what can be saved on a machine that the cloud takes away.
@@ -258,24 +157,12 @@
 	}
 }
 
+// decide makes a plan from all that is known and carries it out.
 func (c *Controller) decide(now time.Time) {
 	snap, jobs, machines := c.snapshot(now)
 	plan := sched.Decide(snap)
-	for _, st := range plan.Starts {
-		j, m := jobs[st.Job], machines[st.Machine]
-		for range st.Count {
-			n := j.take()
-			p := &fleet.Placement{Key: fleet.Key{Job: j.ref, Task: n}, Attempt: j.next, Session: m.Session, Machine: m, Since: now}
-			if !j.gang() {
-				j.next++
-			}
-			j.live[n], m.Live[p.Key] = p, p
-			c.markDirty(j, n, true, now)
-		}
-		if i, ok := c.typeIdx[m.Type]; ok {
-			m.TouchImage(j.desc.Image, j.desc.ImageGB, c.types[i].CacheGB)
-		}
-		c.Log.Debug("placing", "job", j.ref, "machine", m.ID, "count", st.Count)
+	for _, start := range plan.Starts {
+		c.placeTasks(jobs[start.Job], machines[start.Machine], start.Count, now)
 	}
 	for i, j := range jobs {
 		// One attempt number for the whole gang, the next for the next try.
@@ -283,47 +170,72 @@
 			j.next++
 		}
 	}
-	for _, st := range plan.Stops {
-		m, j := machines[st.Machine], jobs[st.Job]
-		c.Log.Info("making room", "machine", m.ID, "job", j.ref, "count", st.Count)
-		var of []*fleet.Placement
-		for _, p := range m.Live {
-			if p.Job == j.ref && !p.Stopping {
-				of = append(of, p)
-			}
+	for _, stop := range plan.Stops {
+		c.stopTasks(jobs[stop.Job], machines[stop.Machine], stop.Count, now)
+	}
+	c.rentPlanned(snap, plan.Rents, now)
+	var back []*fleet.Machine
+	for _, i := range plan.Returns {
+		back = append(back, machines[i])
+	}
+	c.giveBack(back, "idle", now)
+	if now.Sub(c.summarized) >= tuning.StatusEvery {
+		c.summarized = now
+		c.summarize(snap, jobs, plan, now)
+	}
+}
+
+// placeTasks places tasks of a job on a machine; they are started once that is recorded.
+func (c *Controller) placeTasks(j *job, m *fleet.Machine, count int, now time.Time) {
+	for range count {
+		task := j.take()
+		p := &fleet.Placement{Key: fleet.Key{Job: j.ref, Task: task}, Attempt: j.next, Session: m.Session, Machine: m, Since: now}
+		if !j.gang() {
+			j.next++
 		}
-		// The last started first: the least is lost.
-		slices.SortFunc(of, func(a, b *fleet.Placement) int { return cmp.Or(b.Since.Compare(a.Since), cmp.Compare(a.Task, b.Task)) })
-		for _, p := range of[:min(st.Count, len(of))] {
-			// What goes before does not wait for a save: no more is lost
-			// than the time since the last checkpoint.
-			c.stop(p, 0, now)
+		j.live[task], m.Live[p.Key] = p, p
+		c.markDirty(j, task, true, now)
+	}
+	if i, ok := c.typeIdx[m.Type]; ok {
+		m.TouchImage(j.desc.Image, j.desc.ImageGB, c.types[i].CacheGB)
+	}
+	c.Log.Debug("placing", "job", j.ref, "machine", m.ID, "count", count)
+}
+
+// stopTasks stops tasks of a job on a machine to make room, the last started first: the
+// least is lost.
+func (c *Controller) stopTasks(j *job, m *fleet.Machine, count int, now time.Time) {
+	c.Log.Info("making room", "machine", m.ID, "job", j.ref, "count", count)
+	var placed []*fleet.Placement
+	for _, p := range m.Live {
+		if p.Job == j.ref && !p.Stopping {
+			placed = append(placed, p)
 		}
 	}
-	// One call at a time for an offer: what is asked for meanwhile goes into the
-	// next together. A claim for each small need would queue at the cloud for
-	// half a minute and take the writes from the starts.
+	slices.SortFunc(placed, func(a, b *fleet.Placement) int { return cmp.Or(b.Since.Compare(a.Since), cmp.Compare(a.Task, b.Task)) })
+	for _, p := range placed[:min(count, len(placed))] {
+		// What goes before does not wait for a save: no more is lost
+		// than the time since the last checkpoint.
+		c.stop(p, 0, now)
+	}
+}
+
+// rentPlanned asks for the machines of a plan, with one call at a time for an offer:
+// what is asked for meanwhile goes into the next together. A claim for each small need
+// would queue at the cloud for half a minute and take the writes from the starts.
+func (c *Controller) rentPlanned(snap *sched.Snapshot, rents []sched.Rent, now time.Time) {
 	asked := map[offer]bool{}
 	for _, cl := range c.claims {
 		if !cl.settled {
 			asked[offer{cl.Type, cl.Zone, cl.Spot}] = true
 		}
 	}
-	for _, r := range plan.Rents {
-		if o := (offer{snap.Types[r.Type].Name, r.Zone, r.Spot}); asked[o] || len(asked) >= tuning.OffersAtOnce {
+	for _, rent := range rents {
+		wanted := offer{snap.Types[rent.Type].Name, rent.Zone, rent.Spot}
+		if asked[wanted] || len(asked) >= tuning.OffersAtOnce {
 			continue
-		} else {
-			asked[o] = true
 		}
-		c.rent(snap.Types[r.Type].Name, r.Zone, r.Spot, r.Count, now)
-	}
-	var back []*fleet.Machine
-	for _, i := range plan.Returns {
-		back = append(back, machines[i])
-	}
-	c.giveBack(back, "idle", now)
-	if now.Sub(c.summarized) >= tuning.StatusEvery {
-		c.summarized = now
-		c.summarize(snap, jobs, plan, now)
+		asked[wanted] = true
+		c.rent(wanted.typ, wanted.zone, wanted.spot, rent.Count, now)
 	}
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -76,7 +76,7 @@
 		m.WasUsable, c.changed = usable, true
 	}
 	if !wasUp {
-		m.IdleSince, m.CardsIdle = now, now
+		m.IdleSince, m.GPUsIdle = now, now
 		c.takeHint(m)
 		c.Log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot)
 	}
@@ -126,48 +126,59 @@
 		p := e.Placement
 		p.Machine.Drop(p, now)
 		j := c.jobs[p.Job]
-		if j != nil && j.desc.Cards > 0 {
-			p.Machine.CardsIdle = now
+		if j != nil && j.desc.GPUs > 0 {
+			p.Machine.GPUsIdle = now
 		}
 		if j == nil || j.live[p.Task] != p {
 			continue
 		}
 		delete(j.live, p.Task)
 		if e.Cause == wire.CauseDone {
-			if p.State == wire.TaskRunning {
-				c.est.done(&j.desc, now.Sub(p.Since).Seconds())
-			}
-			j.done.Add(p.Task)
-			j.nDone++
-			j.pendingDone[p.Task] = true
-			j.errors = 0
-			c.markDirty(j, p.Task, false, now)
+			c.completeTask(j, p, now)
 		} else {
-			j.giveBack(p.Task)
-			if p.Recorded {
-				// The next leader would leave it its time to end all over again.
-				c.markDirty(j, p.Task, false, now)
-			}
-			if e.Cause != wire.CauseStopped && !j.cancelled {
-				c.Log.Info("task ended", "task", taskName(p.Key), "try", p.Attempt, "machine", p.Machine.ID, "cause", e.Cause)
-			}
-			switch e.Cause {
-			case wire.CauseError:
-				j.errors++
-				pause := tuning.ErrorBackoff << min(j.errors-1, 10)
-				j.rest(now.Add(min(pause, tuning.ErrorBackoffMax)))
-				p.Machine.Failed(j.ref)
-			case wire.CauseNoRoom, wire.CauseBusy:
-				p.Machine.RestUntil = now.Add(tuning.MachineBackoff)
-			case wire.CauseUnknown:
-				j.rest(now.Add(tuning.MachineBackoff))
-			}
-			if j.gang() {
-				// The gang has lost a member: the rest cannot go on.
-				for _, q := range j.live {
-					c.stop(q, 0, now)
-				}
-			}
+			c.retryTask(j, &e, now)
 		}
 	}
 }
+
+// completeTask notes that a task is done. The worker may forget it once that is recorded.
+func (c *Controller) completeTask(j *job, p *fleet.Placement, now time.Time) {
+	if p.State == wire.TaskRunning {
+		c.est.done(&j.desc, now.Sub(p.Since).Seconds())
+	}
+	j.done.Add(p.Task)
+	j.nDone++
+	j.pendingDone[p.Task] = true
+	j.errors = 0
+	c.markDirty(j, p.Task, false, now)
+}
+
+// retryTask lets a task that has ended without being done start again.
+func (c *Controller) retryTask(j *job, e *fleet.Ended, now time.Time) {
+	p := e.Placement
+	j.giveBack(p.Task)
+	if p.Recorded {
+		// The next leader would leave it its time to end all over again.
+		c.markDirty(j, p.Task, false, now)
+	}
+	if e.Cause != wire.CauseStopped && !j.cancelled {
+		c.Log.Info("task ended", "task", taskName(p.Key), "try", p.Attempt, "machine", p.Machine.ID, "cause", e.Cause)
+	}
+	switch e.Cause {
+	case wire.CauseError:
+		j.errors++
+		pause := tuning.ErrorBackoff << min(j.errors-1, 10)
+		j.rest(now.Add(min(pause, tuning.ErrorBackoffMax)))
+		p.Machine.Failed(j.ref)
+	case wire.CauseNoRoom, wire.CauseBusy:
+		p.Machine.RestUntil = now.Add(tuning.MachineBackoff)
+	case wire.CauseUnknown:
+		j.rest(now.Add(tuning.MachineBackoff))
+	}
+	if !j.gang() {
+		return
+	}
+	for _, other := range j.live { // the gang has lost a member: the rest cannot go on
+		c.stop(other, 0, now)
+	}
+}
--- /dev/null
+++ b/internal/controller/silence.go
@@ -0,0 +1,135 @@
+package controller
+
+import (
+	"time"
+
+	"marblehaven/internal/fleet"
+	"marblehaven/internal/tuning"
+)
+
+// silence is how long a machine may be silent and still be given new work.
+func (c *Controller) silence() time.Duration {
+	return seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentReports)
+}
+
+// unheard is how long a machine may be silent before it is asked after, or counts as
+// not heard.
+func (c *Controller) unheard() time.Duration {
+	return seconds(c.Config.Deployment.Workers.ReportS * tuning.UnheardReports)
+}
+
+// counts tells whether a machine is one that should be heard: it has been, or there
+// are tasks on it.
+func counts(m *fleet.Machine) bool { return !m.Leaving && (m.Up || len(m.Live) > 0) }
+
+// presumedLost picks silent machines whose tasks need not wait for the lease:
+// giving a machine back proves that they are gone. A machine whose notice is
+// over is one; so is one that answers no direct call either, sooner if production
+// or a gang waits for it, unless much of its zone is silent: then it is the link
+// that failed, and the work goes on there.
+func (c *Controller) presumedLost(now time.Time) map[*fleet.Machine]bool {
+	out := map[*fleet.Machine]bool{}
+	interval, unheard := seconds(c.Config.Deployment.Workers.ReportS), c.unheard()
+	var deaf, mute []*fleet.Machine
+	up := 0
+	inZone, silentIn := map[string]int{}, map[string]int{}
+	for _, m := range c.machines {
+		if !counts(m) {
+			continue
+		}
+		silent := now.Sub(m.LastReport)
+		if !m.Up {
+			silent = now.Sub(c.takeover) // it was heard by an earlier leader at best
+		}
+		inZone[m.Zone]++
+		if silent > interval {
+			silentIn[m.Zone]++ // sooner, so that a cut shows before any of it counts as lost
+		}
+		if silent > unheard && len(m.Live) > 0 {
+			mute = append(mute, m)
+		}
+		if m.Shown < c.token() {
+			continue
+		}
+		up++
+		switch {
+		case !m.NoticeEnd.IsZero() && now.After(m.NoticeEnd) && silent > unheard:
+			out[m] = true
+		case m.Deaf():
+			deaf = append(deaf, m)
+		}
+	}
+	lost := seconds(c.Config.Deployment.Workers.ReportS * tuning.SilentLost)
+	for _, m := range mute {
+		if float64(silentIn[m.Zone]) > max(1, float64(inZone[m.Zone])*tuning.SilentZone) {
+			continue
+		}
+		long := now.Sub(m.LastReport) > lost && now.Sub(c.takeover) > lost
+		switch {
+		case m.Unanswered >= tuning.SilentCalls:
+			out[m] = long || c.urgent(m)
+		case m.Addr == "": // not listed either, so there is nothing to call
+			out[m] = long && c.listed
+		case !m.InFlight:
+			c.do(m, nil, lastSession(m), false, false)
+		}
+	}
+	// Machines whose reports come although nothing reaches them are as lost, but
+	// where they are many it is the link.
+	if len(deaf) <= max(1, int(float64(up)*tuning.DeafFew)) {
+		for _, m := range deaf {
+			out[m] = true
+		}
+	}
+	return out
+}
+
+// urgent tells whether the machine has what should not wait for its lease: a
+// player-facing service, or a task of a gang, whose others can do nothing
+// meanwhile and whose machines stand idle.
+func (c *Controller) urgent(m *fleet.Machine) bool {
+	for k := range m.Live {
+		if j := c.jobs[k.Job]; j != nil && j.gang() && j.desc.Tasks > 1 {
+			return true
+		}
+	}
+	return c.production(m)
+}
+
+// production tells whether the machine has player-facing services.
+func (c *Controller) production(m *fleet.Machine) bool {
+	for k := range m.Live {
+		if j := c.jobs[k.Job]; j != nil && j.rank() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// cutOff tells whether this leader hears next to nothing of the machines although
+// the state service keeps it in its term. Their leases run out all together, while
+// another node may well hear them. It must have heard them before, or its peers
+// must hear more of them than it does: where the machines themselves are gone one
+// leader after another would leave, and none would ever learn that they are.
+func (c *Controller) cutOff(now time.Time) bool {
+	if now.Sub(c.confirmed()) > tuning.StartAuthority && now.After(c.fitSince) {
+		c.fitSince = now
+	}
+	span := c.unheard()
+	if now.Sub(c.fitSince) < span {
+		return false
+	}
+	known, heard := 0, 0
+	for _, m := range c.machines {
+		if !counts(m) {
+			continue
+		}
+		known++
+		if m.Up && !m.Deaf() && now.Sub(m.LastHello) <= span {
+			heard++
+		}
+	}
+	c.heardMost = c.heardMost || 2*heard > known
+	return known >= tuning.UnheardLeast && float64(heard) < float64(known)*tuning.HeardShare &&
+		(c.heardMost || c.Redirected() > max(heard, tuning.UnheardLeast))
+}
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -93,7 +93,7 @@
 	teams    map[string]int   // index of snap.Teams
 	machines []*fleet.Machine // in the order of snap.Machines; nil: asked for
 	running  []sched.Running  // backs the machines' tasks
-	// slots are the machines that gangs gather on, with cards and without, and
+	// slots are the machines that gangs gather on, with GPUs and without, and
 	// zones in how many zones they are.
 	slots map[bool]float64
 	zones int
@@ -104,7 +104,7 @@
 func (c *Controller) snapshot(now time.Time) (*sched.Snapshot, []*job, []*fleet.Machine) {
 	b := &snapshotter{Controller: c, now: now, teams: map[string]int{}, jobIndex: map[string]int{}, slots: map[bool]float64{}, zones: 1}
 	op := c.Config.Operator
-	b.snap = &sched.Snapshot{Rho: op.Rho, CardRank: c.cardRank, CardNeed: c.cardNeed, GiveBack: op.GiveBackFactor,
+	b.snap = &sched.Snapshot{Rho: op.Rho, GPURank: c.gpuRank, GPUNeed: c.gpuNeed, GiveBack: op.GiveBackFactor,
 		OverdueShare: tuning.OverdueShare, OverdueShareIdle: tuning.OverdueShareIdle, Refused: map[sched.Offer]bool{}}
 	b.addTypes()
 	b.addTeams()
@@ -123,7 +123,7 @@
 
 func (b *snapshotter) addTypes() {
 	for _, t := range b.types {
-		b.snap.Types = append(b.snap.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, Cards: t.Cards, Mem: t.MemGB},
+		b.snap.Types = append(b.snap.Types, sched.Type{Name: t.Name, Total: sched.Res{Cores: t.Cores, GPUs: t.GPUs, Mem: t.MemGB},
 			Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.BootS, FetchGBps: t.FetchGBps, Zones: t.Zones})
 	}
 }
@@ -131,7 +131,7 @@
 func (b *snapshotter) addTeams() {
 	for i, t := range b.Config.Deployment.Teams {
 		b.teams[t.Name] = i
-		b.snap.Teams = append(b.snap.Teams, sched.Team{Max: sched.Res{Cores: t.CoresMax, Cards: t.CardsMax}})
+		b.snap.Teams = append(b.snap.Teams, sched.Team{Max: sched.Res{Cores: t.CoresMax, GPUs: t.GPUsMax}})
 	}
 }
 
@@ -223,14 +223,14 @@
 // guarantee is what a team is guaranteed.
 func (b *snapshotter) guarantee(team int) sched.Res {
 	t := b.Config.Deployment.Teams[team]
-	return sched.Res{Cores: t.Cores, Cards: t.Cards}
+	return sched.Res{Cores: t.Cores, GPUs: t.GPUs}
 }
 
 // withinGuarantee tells whether a demand is within a guarantee in what a task needs.
 func withinGuarantee(need, demand, guarantee sched.Res) bool {
 	const tolerance = 1e-9
 	return (need.Cores <= 0 || demand.Cores <= guarantee.Cores+tolerance) &&
-		(need.Cards <= 0 || demand.Cards <= guarantee.Cards+tolerance)
+		(need.GPUs <= 0 || demand.GPUs <= guarantee.GPUs+tolerance)
 }
 
 func (b *snapshotter) addMachines() {
@@ -249,13 +249,13 @@
 	t := &b.snap.Types[typ]
 	sm := sched.Machine{ID: m.ID, Type: typ, Zone: m.Zone, Spot: m.Spot, Free: t.Total,
 		Ready: m.Usable(b.now, b.silence()), Empty: len(m.Live) == 0 && len(m.Outbox) == 0, IdleS: b.now.Sub(m.IdleSince).Seconds(),
-		CardIdleS: b.now.Sub(m.CardsIdle).Seconds()}
+		GPUIdleS: b.now.Sub(m.GPUsIdle).Seconds()}
 	sm.Coming = !m.Up && !m.Leaving && b.now.Sub(m.Rented) < seconds(tuning.BootSlow*t.BootS)
 	if m.Up && !sm.Ready && !m.Leaving && m.NoticeEnd.IsZero() {
 		b.unsettled++
 	}
 	if !m.Leaving {
-		b.slots[t.Total.Cards > 0]++
+		b.slots[t.Total.GPUs > 0]++
 		b.zones = max(b.zones, len(t.Zones))
 	}
 	b.addRunning(&sm, m, t)
@@ -316,7 +316,7 @@
 		}
 		sj := &b.snap.Jobs[i]
 		age := b.now.Sub(j.readyAt).Seconds()
-		sj.OverdueS = max(0, age-mayWait(j, sj.EstimateS, b.slots[sj.Need.Cards > 0], b.zones))
+		sj.OverdueS = max(0, age-mayWait(j, sj.EstimateS, b.slots[sj.Need.GPUs > 0], b.zones))
 		sj.TooLate = age > tuning.MustBegin
 	}
 }
--- a/internal/controller/versions.go
+++ b/internal/controller/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/pause"
@@ -47,7 +48,7 @@
 	}
 	_, err = c.Store.Get(ctx, ledger.KeyCluster)
 	m.committed = err == nil
-	if statestore.IsNotFound(err) {
+	if errors.Is(err, statestore.ErrNotFound) {
 		err = nil
 	}
 	return m, err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,7 +58,7 @@
 	NoticeEnd    time.Time // when the cloud takes it; zero: no notice
 	Rented       time.Time
 	IdleSince    time.Time
-	CardsIdle    time.Time // since when no card has been in use
+	GPUsIdle     time.Time // since when no GPU has been in use
 	RestUntil    time.Time
 	HandshakeAt  time.Time // no handshake before
 	Up           bool      // has reported
@@ -107,7 +107,7 @@
 // New makes a machine known by its name only.
 // The token is the first of the present term.
 func New(id string, token uint64, now time.Time, leaseEnd time.Time) *Machine {
-	return &Machine{ID: id, Token: token, Fence: token, started: map[attempt]uint64{}, Rented: now, LastHello: now, IdleSince: now, CardsIdle: now, LeaseEnd: leaseEnd,
+	return &Machine{ID: id, Token: token, Fence: token, started: map[attempt]uint64{}, Rented: now, LastHello: now, IdleSince: now, GPUsIdle: now, LeaseEnd: leaseEnd,
 		Live: map[Key]*Placement{}, failed: map[string]bool{}}
 }
 
@@ -197,6 +197,10 @@
 // Observe takes in a report and returns the placements that it ends. A report
 // that is not newer than the last one changes nothing: fresh is false. A session
 // that began by now may last until leaseEnd without any answer of ours.
+//
+// A placement ends on one of these proofs only: the worker lists its attempt as exited;
+// a later session, or a new life; or its absence, once no start of it can arrive any
+// more.
 func (m *Machine) Observe(r *wire.Report, parse func(string) (Key, bool), now, leaseEnd time.Time) (ended []Ended, fresh bool) {
 	if r.Session < m.Session || (r.Session == m.Session && r.Seq <= m.Seq) || r.Session <= m.Lapsed {
 		return nil, false
@@ -207,66 +211,87 @@
 		m.probe = 0
 	}
 	same := !newSession && m.matched && r.Token == m.Shown && m.sameTasks(r.Tasks)
+	m.takeHeader(r, now)
+	if same {
+		return nil, true // most reports: hundreds a second at a large site
+	}
+	if newSession {
+		ended = m.beginSession(r.Session, known, leaseEnd)
+	}
+	shown := m.takeTasks(r, parse)
+	ended = append(ended, m.endedBy(shown, now)...)
+	m.forgetStarts()
+	return ended, true
+}
+
+// takeHeader takes in what a report says of the machine itself.
+func (m *Machine) takeHeader(r *wire.Report, now time.Time) {
 	m.Addr, m.Type, m.Zone, m.Spot = r.Addr, r.Type, r.Zone, r.Spot
 	m.Session, m.Seq, m.Up, m.LastReport, m.Unanswered = r.Session, r.Seq, true, now, 0
 	m.Shown = max(m.Shown, r.Token)
+	m.NoticeEnd = time.Time{}
 	if r.Notice != nil {
 		m.NoticeEnd = now.Add(time.Duration(*r.Notice * float64(time.Second)))
-	} else {
-		m.NoticeEnd = time.Time{}
 	}
-	if same {
-		return nil, true // most reports: hundreds a second at a large site
-	}
-	if newSession {
-		// A higher tenure proves that all of the earlier ones' tasks are gone
-		// and that commands still under way for them will be refused.
-		// So does a new life, whatever its count: the token that it shows was
-		// not sent before, and commands of the former life carry lower ones.
-		for _, p := range m.Live {
-			if p.Session < r.Session || (m.reborn && p.Session > r.Session) {
-				ended = append(ended, Ended{Placement: p})
-			}
-		}
-		// A session that ends takes the tasks, not the images, but a new life may
-		// be an empty machine's.
-		if m.reborn {
-			m.images, m.names = nil, nil
-		}
-		// That it lost its lease although its reports were answered shows that
-		// answers do not reach it: it must show a new token before new work.
-		if known || m.reborn {
-			m.Token++
-			m.Fence = m.Token
-		}
-		m.reborn = false
-		// The lease of a new session counts from its beginning. Without this a
-		// worker that was reached by direct commands only had its new session
-		// taken for over with the old one, and its tasks were started twice.
-		if leaseEnd.After(m.LeaseEnd) {
-			m.LeaseEnd = leaseEnd
+}
+
+// beginSession ends what earlier sessions ran: a higher tenure proves that all of that
+// is gone and that commands still under way for it will be refused. So does a new life,
+// whatever its count: the token that it shows was not sent before, and commands of the
+// former life carry lower ones. known tells whether there was a session before.
+func (m *Machine) beginSession(session uint64, known bool, leaseEnd time.Time) (ended []Ended) {
+	for _, p := range m.Live {
+		if p.Session < session || (m.reborn && p.Session > session) {
+			ended = append(ended, Ended{Placement: p})
 		}
 	}
+	// A session that ends takes the tasks, not the images, but a new life may
+	// be an empty machine's.
+	if m.reborn {
+		m.images, m.names = nil, nil
+	}
+	// That it lost its lease although its reports were answered shows that
+	// answers do not reach it: it must show a new token before new work.
+	if known || m.reborn {
+		m.Token++
+		m.Fence = m.Token
+	}
+	m.reborn = false
+	// The lease of a new session counts from its beginning. Without this a
+	// worker that was reached by direct commands only had its new session
+	// taken for over with the old one, and its tasks were started twice.
+	if leaseEnd.After(m.LeaseEnd) {
+		m.LeaseEnd = leaseEnd
+	}
+	return ended
+}
+
+// takeTasks takes in the tasks that a report lists and returns those that are known.
+func (m *Machine) takeTasks(r *wire.Report, parse func(string) (Key, bool)) map[Key]*wire.TaskReport {
 	m.Reported = make([]Reported, len(r.Tasks))
 	m.UnknownTasks = 0
-	m.matched = true
 	shown := make(map[Key]*wire.TaskReport, len(r.Tasks))
 	for i := range r.Tasks {
-		t := &r.Tasks[i]
-		k, ok := parse(t.Task)
-		m.Reported[i] = Reported{*t, k, ok}
-		p := m.Live[k]
-		if ok && p != nil && p.Attempt == t.Attempt && p.Session == r.Session {
-			shown[k] = t
-		} else if t.State != wire.TaskExited {
+		key, ok := parse(r.Tasks[i].Task)
+		m.Reported[i] = Reported{r.Tasks[i], key, ok}
+		if m.known(&m.Reported[i]) {
+			shown[key] = &r.Tasks[i]
+		} else if r.Tasks[i].State != wire.TaskExited {
 			m.UnknownTasks++
 		}
 	}
-	for k, p := range m.Live {
-		if p.Session != r.Session {
+	return shown
+}
+
+// endedBy draws the conclusions from the known tasks of the newest report for the
+// placements of its session.
+func (m *Machine) endedBy(shown map[Key]*wire.TaskReport, now time.Time) (ended []Ended) {
+	m.matched = true
+	for key, p := range m.Live {
+		if p.Session != m.Session {
 			continue
 		}
-		t := shown[k]
+		t := shown[key]
 		switch {
 		case t != nil && t.State == wire.TaskExited:
 			// The worker ignores a repeated start as long as it lists the
@@ -284,14 +309,17 @@
 			m.matched = false // its absence may come to prove something
 		}
 	}
+	return ended
+}
+
+// forgetStarts forgets the tokens of starts of what is neither live nor listed.
+func (m *Machine) forgetStarts() {
 	for a := range m.started {
-		if m.Live[a.Key] == nil && !slices.ContainsFunc(m.Reported, func(t Reported) bool {
-			return t.OK && t.Of == a.Key && t.Attempt == a.n
-		}) {
+		listed := func(t Reported) bool { return t.OK && t.Of == a.Key && t.Attempt == a.n }
+		if m.Live[a.Key] == nil && !slices.ContainsFunc(m.Reported, listed) {
 			delete(m.started, a)
 		}
 	}
-	return ended, true
 }
 
 // known tells whether a reported task is one that the records place here.
--- a/internal/peer/compatible_test.go
+++ b/internal/peer/compatible_test.go
@@ -27,7 +27,7 @@
 	if err := json.Unmarshal(raw, &kept); err != nil {
 		t.Fatal(err)
 	}
-	job := wire.Job{ID: "req-000412", Class: "train", Team: "vision", Shape: wire.Gang, Rank: wire.High, Tasks: 16, Cores: 8, Cards: 1,
+	job := wire.Job{ID: "req-000412", Class: "train", Team: "vision", Shape: wire.Gang, Rank: wire.High, Tasks: 16, Cores: 8, GPUs: 1,
 		MemGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, Zone: "a", OneZone: true, Spot: true, EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: 900}
 	const atMS = 1790000000123
 	term := ledger.Term{N: 41, Node: "marble-2"}
@@ -40,7 +40,7 @@
 		"term":  &term,
 		"claim": &ledger.Claim{Claim: "r-41-7", Type: "g8", Zone: "a", Spot: true, Count: 12, AtMS: atMS},
 		"hint":  &ledger.Hint{Images: []string{"img-07", "img-09"}, GB: []float64{6.2, 1}, Machines: map[string][]int{"m-000231": {1, 0}}},
-		"catalog": &[]wire.MachineType{{Name: "g8", Cores: 96, Cards: 8, MemGB: 768, CacheGB: 200, FetchGBps: 1, Price: 12, SpotPrice: 4.5,
+		"catalog": &[]wire.MachineType{{Name: "g8", Cores: 96, GPUs: 8, MemGB: 768, CacheGB: 200, FetchGBps: 1, Price: 12, SpotPrice: 4.5,
 			BootS: 45, Zones: []string{"a", "b"}}},
 		"statusRequest": &StatusRequest{Leader: term, Acknowledged: true},
 		"status": &Status{Leader: term, StateMS: 120, Acknowledged: []string{"req-000412"}, CompleteMS: 9000, Redirected: 3,
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -7,14 +7,14 @@
 	"marblehaven/internal/wire"
 )
 
-// cardless tells for a job whether it must keep off machines with cards: work
-// without need of cards would keep dear machines from the work that needs them.
-func cardless(s *Snapshot, j *Job) bool {
-	if j.Need.Cards > 0 {
+// withoutGPU tells for a job whether it must keep off machines with GPUs: work
+// without need of GPUs would keep dear machines from the work that needs them.
+func withoutGPU(s *Snapshot, j *Job) bool {
+	if j.Need.GPUs > 0 {
 		return false
 	}
 	for i := range s.Types {
-		if s.Types[i].Total.Cards == 0 && TypeFits(&s.Types[i], j.Desc) {
+		if s.Types[i].Total.GPUs == 0 && TypeFits(&s.Types[i], j.Desc) {
 			return true
 		}
 	}
@@ -73,46 +73,46 @@
 // eligible tells whether tasks of the job may be on the machine, where those it
 // has are in the given zones and need a machine of their own.
 func (p *planner) eligible(m *Machine, d *wire.Job, zones map[string]int, keepOff bool) bool {
-	return p.allowed(m, d) && ZoneRoom(d, zones, m.Zone) > 0 && !(keepOff && p.s.Types[m.Type].Total.Cards > 0)
+	return p.allowed(m, d) && ZoneRoom(d, zones, m.Zone) > 0 && !(keepOff && p.s.Types[m.Type].Total.GPUs > 0)
 }
 
 // room is how many tasks of the job the machine takes now. Work that does not
-// need cards gets on a machine with cards what its card work leaves over; where
-// no card is in use it gets all, if it ranks below the work with cards and can
+// need GPUs gets on a machine with GPUs what its GPU work leaves over; where
+// no GPU is in use it gets all, if it ranks below the work with GPUs and can
 // be stopped for it. Only work that ends by itself may go there, and none once
 // the machine is to be given back: it must not keep a dear machine.
 func (p *planner) room(m *Machine, j *Job, keepOff bool) int {
 	t := &p.s.Types[m.Type]
-	if keepOff && t.Total.Cards > 0 {
+	if keepOff && t.Total.GPUs > 0 {
 		switch {
 		case j.Desc.Shape == wire.Service:
 			return 0
-		case p.cardWork(m):
-			if r := p.s.CardNeed; r.Cards > 0 && m.Free.Slots(r) > 0 {
+		case p.gpuWork(m):
+			if r := p.s.GPUNeed; r.GPUs > 0 && m.Free.Slots(r) > 0 {
 				return m.Free.Sub(r, 1).Slots(j.Need)
 			}
-		case p.cardWaits || j.Rank <= p.cardRank() || j.Desc.Shape == wire.Gang ||
-			m.CardIdleS >= p.s.giveBack(m):
+		case p.gpuWaits || j.Rank <= p.gpuRank() || j.Desc.Shape == wire.Gang ||
+			m.GPUIdleS >= p.s.giveBack(m):
 			return 0
 		}
 	}
 	return m.Free.Slots(j.Need)
 }
 
-// cardRank is the rank that work on an idle machine with cards must be below.
-// As long as no work with cards has been seen, as after a takeover, only the
+// gpuRank is the rank that work on an idle machine with GPUs must be below.
+// As long as no work with GPUs has been seen, as after a takeover, only the
 // lowest rank is certain to be stopped for it.
-func (p *planner) cardRank() int {
-	if p.s.CardRank < 0 {
+func (p *planner) gpuRank() int {
+	if p.s.GPURank < 0 {
 		return LowestRank - 1
 	}
-	return p.s.CardRank
+	return p.s.GPURank
 }
 
-// cardWork tells whether work with cards is on the machine.
-func (p *planner) cardWork(m *Machine) bool {
+// gpuWork tells whether work with GPUs is on the machine.
+func (p *planner) gpuWork(m *Machine) bool {
 	for _, r := range m.Tasks {
-		if p.s.Jobs[r.Job].Need.Cards > 0 {
+		if p.s.Jobs[r.Job].Need.GPUs > 0 {
 			return true
 		}
 	}
--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -7,15 +7,15 @@
 	"slices"
 )
 
-// cardWait is when the held machines are likely to have room for n tasks of a
-// job with cards, in the zone given or, if it needs one, in the best; those
+// gpuWait is when the held machines are likely to have room for n tasks of a
+// job with GPUs, in the zone given or, if it needs one, in the best; those
 // machines then count as taken for as long as the job runs.
-func (p *planner) cardWait(j *Job, n int, in string) float64 {
-	if p.cardLeft == nil {
-		p.cardLeft = make([]float64, len(p.s.Machines))
+func (p *planner) gpuWait(j *Job, n int, in string) float64 {
+	if p.gpuLeft == nil {
+		p.gpuLeft = make([]float64, len(p.s.Machines))
 		for i := range p.s.Machines {
 			for _, r := range p.s.Machines[i].Tasks {
-				p.cardLeft[i] = math.Max(p.cardLeft[i], r.LeftS)
+				p.gpuLeft[i] = math.Max(p.gpuLeft[i], r.LeftS)
 			}
 		}
 	}
@@ -34,19 +34,19 @@
 	best, wait := []int(nil), math.Inf(1)
 	for _, z := range slices.Sorted(maps.Keys(byZone)) {
 		idx := byZone[z]
-		slices.SortStableFunc(idx, func(a, b int) int { return cmp.Compare(p.cardLeft[a], p.cardLeft[b]) })
+		slices.SortStableFunc(idx, func(a, b int) int { return cmp.Compare(p.gpuLeft[a], p.gpuLeft[b]) })
 		left := n
 		for k, i := range idx {
 			if left -= p.s.Types[p.s.Machines[i].Type].Total.Slots(j.Need); left <= 0 {
-				if p.cardLeft[i] < wait {
-					best, wait = idx[:k+1], p.cardLeft[i]
+				if p.gpuLeft[i] < wait {
+					best, wait = idx[:k+1], p.gpuLeft[i]
 				}
 				break
 			}
 		}
 	}
 	for _, i := range best {
-		p.cardLeft[i] += j.EstimateS
+		p.gpuLeft[i] += j.EstimateS
 	}
 	return wait
 }
@@ -89,7 +89,7 @@
 	}
 	for ti := range p.s.Types {
 		t := &p.s.Types[ti]
-		if !TypeFits(t, d) || (keepOff && t.Total.Cards > 0) {
+		if !TypeFits(t, d) || (keepOff && t.Total.GPUs > 0) {
 			continue
 		}
 		for _, z := range t.Zones {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -17,8 +17,8 @@
 	for i := range idx {
 		idx[i] = i
 	}
-	cores, cards := held(s)
-	first := promoted(s, cores, cards)
+	cores, gpus := held(s)
+	first := promoted(s, cores, gpus)
 	group := func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
 		return cmp.Or(
@@ -26,7 +26,7 @@
 			cmpBool(first[a], first[b]),
 			cmpBool(x.Guaranteed, y.Guaranteed),
 			cmp.Compare(x.Rank, y.Rank),
-			cmpBool(x.Need.Cards > 0, y.Need.Cards > 0))
+			cmpBool(x.Need.GPUs > 0, y.Need.GPUs > 0))
 	}
 	slices.SortStableFunc(idx, func(a, b int) int {
 		x, y := &s.Jobs[a], &s.Jobs[b]
@@ -36,14 +36,14 @@
 		return cmp.Or(group(a, b), cmp.Compare(x.DueS, y.DueS), cmp.Compare(x.Ref, y.Ref))
 	})
 	load := 0.0 // time that the held machines need for what goes before
-	loadCards := 0.0
+	loadGPUs := 0.0
 	for i := 0; i < len(idx); {
 		n := i + 1
 		for n < len(idx) && group(idx[i], idx[n]) == 0 {
 			n++
 		}
-		if s.Jobs[idx[i]].Need.Cards > 0 {
-			loadCards = inTime(s, idx[i:n], loadCards, first[idx[i]], func(j *Job) float64 { return j.work(j.Need.Cards) / math.Max(cards, 1) })
+		if s.Jobs[idx[i]].Need.GPUs > 0 {
+			loadGPUs = inTime(s, idx[i:n], loadGPUs, first[idx[i]], func(j *Job) float64 { return j.work(j.Need.GPUs) / math.Max(gpus, 1) })
 		} else {
 			load = inTime(s, idx[i:n], load, first[idx[i]], func(j *Job) float64 { return j.work(j.Need.Cores) / math.Max(cores, 1) })
 		}
@@ -55,7 +55,7 @@
 // promoted picks the jobs that have waited too long, the longest first, as long
 // as what waits of them fits into a part of the held machines: without the bound
 // an overload would turn all into a queue in which everything is late.
-func promoted(s *Snapshot, cores, cards float64) []bool {
+func promoted(s *Snapshot, cores, gpus float64) []bool {
 	first := make([]bool, len(s.Jobs))
 	var old []int
 	for i := range s.Jobs {
@@ -64,26 +64,26 @@
 		}
 	}
 	slices.SortFunc(old, func(a, b int) int { return overdue(&s.Jobs[a], &s.Jobs[b]) })
-	leftCores, leftCards := cores*s.OverdueShare, cards*s.OverdueShare
+	leftCores, leftGPUs := cores*s.OverdueShare, gpus*s.OverdueShare
 	idle := cores * s.OverdueShareIdle // of the lowest rank, with what of it runs
 	for i := range s.Jobs {
-		if j := &s.Jobs[i]; j.Rank == LowestRank && j.Need.Cards == 0 {
+		if j := &s.Jobs[i]; j.Rank == LowestRank && j.Need.GPUs == 0 {
 			idle -= j.Need.Cores * float64(j.Live)
 		}
 	}
-	anyCores, anyCards := false, false
+	anyCores, anyGPUs := false, false
 	for _, i := range old {
 		j := &s.Jobs[i]
 		n := float64(j.Waiting)
-		if j.Rank == LowestRank && j.Need.Cards == 0 {
+		if j.Rank == LowestRank && j.Need.GPUs == 0 {
 			if idle <= 0 {
 				continue
 			}
 			idle -= j.Need.Cores * n
 		}
 		left, some, need := &leftCores, &anyCores, j.Need.Cores
-		if j.Need.Cards > 0 {
-			left, some, need = &leftCards, &anyCards, j.Need.Cards
+		if j.Need.GPUs > 0 {
+			left, some, need = &leftGPUs, &anyGPUs, j.Need.GPUs
 		}
 		if !*some || need*n <= *left {
 			first[i], *some = true, true
@@ -100,20 +100,20 @@
 	return cmp.Or(cmpBool(!x.TooLate, !y.TooLate), cmp.Compare(y.OverdueS, x.OverdueS), cmp.Compare(x.Ref, y.Ref))
 }
 
-// held is the size of the held machines: cores of those without cards, and
-// cards.
-func held(s *Snapshot) (cores, cards float64) {
+// held is the size of the held machines: cores of those without GPUs, and
+// GPUs.
+func held(s *Snapshot) (cores, gpus float64) {
 	for i := range s.Machines {
 		m := &s.Machines[i]
 		if m.Ready || m.Coming || len(m.Tasks) > 0 {
 			t := s.Types[m.Type].Total
-			cards += t.Cards
-			if t.Cards == 0 {
+			gpus += t.GPUs
+			if t.GPUs == 0 {
 				cores += t.Cores
 			}
 		}
 	}
-	return cores, cards
+	return cores, gpus
 }
 
 // inTime puts the jobs of a group that can be in time first, in the order they
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -17,6 +18,13 @@
 	stopping
 )
 
+// candidate is a machine that has room for tasks of a job.
+type candidate struct {
+	machine, room int
+	cost          float64 // price times estimate
+	left          float64 // what decides between equal costs, the least first
+}
+
 // place puts up to n tasks on machines of the kind and returns how many found
 // room.
 func (p *planner) place(ji, n int, zones map[string]int, keepOff, gang bool, kind int) int {
@@ -24,111 +32,145 @@
 		return 0
 	}
 	j := &p.s.Jobs[ji]
-	d := j.Desc
-	type cand struct {
-		m, room    int
-		cost, left float64
-	}
 	sig, like := p.kind(j, kind, !gang)
 	if like && p.full[sig] {
 		return 0
 	}
-	var cands []cand
+	candidates := p.candidates(j, zones, keepOff, kind)
+	var starts []Start
+	var placed int
+	if j.Desc.OneZone {
+		starts, placed = p.spreadInOneZone(ji, n, zones, candidates)
+	} else {
+		starts, placed = p.spread(ji, n, zones, candidates, "")
+	}
+	if like && placed < n {
+		p.full[sig] = true
+	}
+	if gang && placed < n {
+		return 0
+	}
+	for _, start := range starts {
+		p.take(start, zones, kind)
+	}
+	return placed
+}
+
+// candidates lists the machines of a kind that have room for a task, the cheapest
+// first.
+func (p *planner) candidates(j *Job, zones map[string]int, keepOff bool, kind int) []candidate {
+	var out []candidate
 	for _, i := range p.open {
-		m := &p.pool[i]
-		if (kind == coming && !m.Coming) || (kind != coming && !m.Ready) || !p.allowed(m, d) || (kind == cached && !m.has(d.Image)) {
-			continue
-		}
-		room := p.room(m, j, keepOff)
-		if room == 0 || ZoneRoom(d, zones, m.Zone) == 0 {
-			continue
-		}
-		t := &p.s.Types[m.Type]
-		est := j.EstimateS
-		if !m.has(d.Image) {
-			// Fetches share the rate: one after another the first are there
-			// sooner, and what waits meanwhile may find a better place.
-			if kind == ready && m.FetchGB > tuning.FetchAheadS*t.FetchGBps {
-				continue
-			}
-			est += fetchS(t, d)
-			if t.FetchGBps > 0 {
-				est += m.FetchGB / t.FetchGBps
-			}
+		if c, ok := p.candidate(i, j, zones, keepOff, kind); ok {
+			out = append(out, c)
 		}
-		share := 1 / float64(max(1, t.Total.Slots(j.Need)))
-		left := m.Free.Cores
-		if j.Need.Cards > 0 {
-			left = m.CardIdleS // the last used, so that others are given back
-		}
-		cands = append(cands, cand{i, room, t.PriceOf(m.Spot) * share * math.Max(est, 1), left})
 	}
-	slices.SortStableFunc(cands, func(a, b cand) int {
+	slices.SortStableFunc(out, func(a, b candidate) int {
 		// Equal cost: the fuller machine, so that others empty.
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.left, b.left))
 	})
-	try := func(only string) ([]Start, int) {
-		var starts []Start
-		z := map[string]int{}
-		for k, v := range zones {
-			z[k] = v
+	return out
+}
+
+// candidate tells whether a machine of the pool is of the kind and has room for a task
+// of a job, and at what cost.
+func (p *planner) candidate(i int, j *Job, zones map[string]int, keepOff bool, kind int) (c candidate, ok bool) {
+	m, d := &p.pool[i], j.Desc
+	if (kind == coming && !m.Coming) || (kind != coming && !m.Ready) || !p.allowed(m, d) || (kind == cached && !m.has(d.Image)) {
+		return c, false
+	}
+	room := p.room(m, j, keepOff)
+	if room == 0 || ZoneRoom(d, zones, m.Zone) == 0 {
+		return c, false
+	}
+	t := &p.s.Types[m.Type]
+	estimate := j.EstimateS
+	if !m.has(d.Image) {
+		// Fetches share the rate: one after another the first are there
+		// sooner, and what waits meanwhile may find a better place.
+		if kind == ready && m.FetchGB > tuning.FetchAheadS*t.FetchGBps {
+			return c, false
 		}
-		left := n
-		for _, c := range cands {
-			m := &p.pool[c.m]
-			if only != "" && m.Zone != only {
-				continue
-			}
-			k := min(left, c.room, ZoneRoom(d, z, m.Zone))
-			if k <= 0 {
-				continue
-			}
-			starts = append(starts, Start{ji, c.m, k})
-			z[m.Zone] += k
-			if left -= k; left == 0 {
-				break
-			}
+		estimate += fetchS(t, d)
+		if t.FetchGBps > 0 {
+			estimate += m.FetchGB / t.FetchGBps
 		}
-		return starts, n - left
-	}
-	starts, got := try("")
-	if d.OneZone {
-		// All in one zone: the zone that takes the most, and of those that take
-		// all the one with the least room, so that the other keeps what a larger
-		// gang will need.
-		starts, got = nil, 0
-		room := map[string]int{}
-		for _, c := range cands {
-			room[p.pool[c.m].Zone] += c.room
+	}
+	share := 1 / float64(max(1, t.Total.Slots(j.Need)))
+	left := m.Free.Cores
+	if j.Need.GPUs > 0 {
+		left = m.GPUIdleS // the last used, so that others are given back
+	}
+	return candidate{i, room, t.PriceOf(m.Spot) * share * math.Max(estimate, 1), left}, true
+}
+
+// spread divides up to n tasks over the candidates in their order, in one zone only
+// unless that is empty, and returns how many found room.
+func (p *planner) spread(ji, n int, zones map[string]int, candidates []candidate, only string) ([]Start, int) {
+	if len(candidates) == 0 {
+		return nil, 0
+	}
+	var starts []Start
+	inZone := maps.Clone(zones)
+	if inZone == nil {
+		inZone = map[string]int{}
+	}
+	left := n
+	for _, c := range candidates {
+		zone := p.pool[c.machine].Zone
+		if only != "" && zone != only {
+			continue
 		}
-		seen, at := map[string]bool{}, ""
-		for _, c := range cands {
-			if z := p.pool[c.m].Zone; !seen[z] {
-				seen[z] = true
-				if st, g := try(z); g > got || (g == got && room[z] < room[at]) {
-					starts, got, at = st, g, z
-				}
-			}
+		count := min(left, c.room, ZoneRoom(p.s.Jobs[ji].Desc, inZone, zone))
+		if count <= 0 {
+			continue
+		}
+		starts = append(starts, Start{ji, c.machine, count})
+		inZone[zone] += count
+		if left -= count; left == 0 {
+			break
 		}
 	}
-	if like && got < n {
-		p.full[sig] = true
-	}
-	if gang && got < n {
-		return 0
+	return starts, n - left
+}
+
+// spreadInOneZone takes the zone that takes the most tasks, and of those that take as
+// many the one with the least room, so that the other keeps what a larger gang will
+// need.
+func (p *planner) spreadInOneZone(ji, n int, zones map[string]int, candidates []candidate) (best []Start, placed int) {
+	room := map[string]int{}
+	for _, c := range candidates {
+		room[p.pool[c.machine].Zone] += c.room
 	}
-	for _, st := range starts {
-		m := &p.pool[st.Machine]
-		m.Free = m.Free.Sub(j.Need, st.Count)
-		zones[m.Zone] += st.Count
-		if kind != coming {
-			if !m.has(d.Image) {
-				m.Images = append(slices.Clip(m.Images), d.Image)
-				m.FetchGB += d.ImageGB
-			}
-			m.Tasks = append(slices.Clip(m.Tasks), Running{Job: ji, Count: st.Count})
-			p.plan.Starts = append(p.plan.Starts, st)
+	seen, bestZone := map[string]bool{}, ""
+	for _, c := range candidates {
+		zone := p.pool[c.machine].Zone
+		if seen[zone] {
+			continue
 		}
+		seen[zone] = true
+		starts, count := p.spread(ji, n, zones, candidates, zone)
+		if count > placed || (count == placed && room[zone] < room[bestZone]) {
+			best, placed, bestZone = starts, count, zone
+		}
+	}
+	return best, placed
+}
+
+// take enters a start in the plan and takes its room. Of machines that are not up yet
+// only the room is taken.
+func (p *planner) take(start Start, zones map[string]int, kind int) {
+	j := &p.s.Jobs[start.Job]
+	m := &p.pool[start.Machine]
+	m.Free = m.Free.Sub(j.Need, start.Count)
+	zones[m.Zone] += start.Count
+	if kind == coming {
+		return
+	}
+	if !m.has(j.Desc.Image) {
+		m.Images = append(slices.Clip(m.Images), j.Desc.Image)
+		m.FetchGB += j.Desc.ImageGB
 	}
-	return got
+	m.Tasks = append(slices.Clip(m.Tasks), Running{Job: start.Job, Count: start.Count})
+	p.plan.Starts = append(p.plan.Starts, start)
 }
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -14,7 +14,7 @@
 		best, bestCost, bestSlots := Offer{}, math.Inf(1), 0
 		for ti := range p.s.Types {
 			t := &p.s.Types[ti]
-			if !TypeFits(t, d) || (keepOff && t.Total.Cards > 0) {
+			if !TypeFits(t, d) || (keepOff && t.Total.GPUs > 0) {
 				continue
 			}
 			slots := t.Total.Slots(j.Need)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,23 +20,23 @@
 	pos []int
 	// open lists the machines, of the pool, that have room for something that
 	// waits; victims those with work that could be stopped for production or
-	// for work with cards.
+	// for work with GPUs.
 	open, victims []int
 	kept          []int // machines kept free for gangs that have waited too long
 	// full remembers which kinds of tasks found no more room: room only shrinks
 	// within a plan, so like tasks need not look again.
 	full map[kindOfTask]bool
 	// spare counts what is rented for production.
-	spare     map[Offer]int
-	cardWaits bool // work with cards waits
-	// cardLeft is when each held machine's work is likely to end, seconds from
+	spare    map[Offer]int
+	gpuWaits bool // work with GPUs waits
+	// gpuLeft is when each held machine's work is likely to end, seconds from
 	// now, with the waiting work that was counted against it.
-	cardLeft []float64
-	teams    []Team // with what this plan starts
-	// aheadCores and aheadCards are the waiting work, in need times seconds, that
-	// goes before for the held machines, of which heldCores and heldCards are the size.
-	aheadCores, aheadCards float64
-	heldCores, heldCards   float64
+	gpuLeft []float64
+	teams   []Team // with what this plan starts
+	// aheadCores and aheadGPUs are the waiting work, in need times seconds, that
+	// goes before for the held machines, of which heldCores and heldGPUs are the size.
+	aheadCores, aheadGPUs float64
+	heldCores, heldGPUs   float64
 }
 
 // kindOfTask is what the search for room depends on. Only kinds without
@@ -68,12 +68,12 @@
 	least := Res{math.Inf(1), math.Inf(1), math.Inf(1)}
 	for i := range p.s.Jobs {
 		if j := &p.s.Jobs[i]; j.Waiting > 0 && !j.Resting {
-			least = Res{math.Min(least.Cores, j.Need.Cores), math.Min(least.Cards, j.Need.Cards), math.Min(least.Mem, j.Need.Mem)}
+			least = Res{math.Min(least.Cores, j.Need.Cores), math.Min(least.GPUs, j.Need.GPUs), math.Min(least.Mem, j.Need.Mem)}
 		}
 	}
 	for i := range p.pool {
 		m := &p.pool[i]
-		if (m.Ready || m.Coming) && m.Free.Cores >= least.Cores-eps && m.Free.Cards >= least.Cards-eps && m.Free.Mem >= least.Mem-eps {
+		if (m.Ready || m.Coming) && m.Free.Cores >= least.Cores-eps && m.Free.GPUs >= least.GPUs-eps && m.Free.Mem >= least.Mem-eps {
 			p.open = append(p.open, i)
 		}
 		if m.Ready && slices.ContainsFunc(m.Tasks, func(r Running) bool { return p.s.Jobs[r.Job].Rank > 0 }) {
@@ -85,7 +85,7 @@
 // Decide makes the plan.
 func Decide(s *Snapshot) Plan {
 	p := &planner{s: s, pool: slices.Clone(s.Machines), full: map[kindOfTask]bool{}, spare: map[Offer]int{}, teams: slices.Clone(s.Teams)}
-	p.heldCores, p.heldCards = held(s)
+	p.heldCores, p.heldGPUs = held(s)
 	p.index()
 	order := p.order()
 	for _, ji := range order {
@@ -105,7 +105,7 @@
 	for i, ji := range order {
 		j := &p.s.Jobs[ji]
 		p.pos[ji] = i
-		p.cardWaits = p.cardWaits || (j.Need.Cards > 0 && j.Waiting > 0 && !j.Resting)
+		p.gpuWaits = p.gpuWaits || (j.Need.GPUs > 0 && j.Waiting > 0 && !j.Resting)
 	}
 	return order
 }
@@ -122,7 +122,7 @@
 	if n == 0 || (gang && n < j.Waiting) {
 		return
 	}
-	keepOff := cardless(p.s, j)
+	keepOff := withoutGPU(p.s, j)
 	zones := map[string]int{}
 	maps.Copy(zones, j.ZoneLive)
 	if j.Rank == 0 && j.Desc.Shape == wire.Service {
@@ -136,7 +136,7 @@
 	}
 	boot := bootOf(p.s, j)
 	slack := p.slack(j, n, boot)
-	if j.Rank == 0 || j.Need.Cards > 0 {
+	if j.Rank == 0 || j.Need.GPUs > 0 {
 		n -= p.makeRoom(ji, n, zones, keepOff, false)
 	}
 	in, all := anywhere, n // where the gang gathers
@@ -151,9 +151,9 @@
 	p.plan.Late = append(p.plan.Late, ji)
 	// A rental helps only if it is up before held machines get to it
 	// (Algorithm 1, steps 12-14: wait for the machine that is free soon).
-	// This holds for work with cards, whose machines are dear and take one
+	// This holds for work with GPUs, whose machines are dear and take one
 	// task each; small work is spread over all that can be had.
-	if p.s.MayRent && (j.Need.Cards == 0 || p.cardWait(j, all, in) > boot) {
+	if p.s.MayRent && (j.Need.GPUs == 0 || p.gpuWait(j, all, in) > boot) {
 		p.rent(ji, n, zones, keepOff, in)
 	}
 }
@@ -179,9 +179,9 @@
 	const longest = 1e6 // seconds; without held machines the queue has no end
 	work := float64(n) * j.EstimateS
 	queue := 0.0
-	if j.Need.Cards > 0 {
-		p.aheadCards += work * j.Need.Cards
-		queue = p.aheadCards / math.Max(p.heldCards, eps)
+	if j.Need.GPUs > 0 {
+		p.aheadGPUs += work * j.Need.GPUs
+		queue = p.aheadGPUs / math.Max(p.heldGPUs, eps)
 	} else {
 		p.aheadCores += work * j.Need.Cores
 		queue = p.aheadCores / math.Max(p.heldCores, eps)
@@ -211,8 +211,8 @@
 	for i := range p.s.Machines {
 		m := &p.s.Machines[i]
 		idle := m.IdleS
-		if p.s.Types[m.Type].Total.Cards > 0 {
-			idle = m.CardIdleS
+		if p.s.Types[m.Type].Total.GPUs > 0 {
+			idle = m.GPUIdleS
 		}
 		if m.Ready && m.Empty && !taken[i] && idle >= p.s.giveBack(m) {
 			p.plan.Returns = append(p.plan.Returns, i)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -17,13 +17,13 @@
 // random makes a snapshot. With busy, machines carry tasks that could be
 // stopped.
 func random(rng *rand.Rand, busy bool) *Snapshot {
-	s := &Snapshot{Rho: 1, GiveBack: 2, MayRent: true, MayReturn: true, CardRank: -1, Refused: map[Offer]bool{},
+	s := &Snapshot{Rho: 1, GiveBack: 2, MayRent: true, MayReturn: true, GPURank: -1, Refused: map[Offer]bool{},
 		Types: []Type{
 			{Name: "small", Total: Res{4, 0, 16}, Price: 0.2, SpotPrice: 0.06, BootS: 30, FetchGBps: 1, Zones: zones},
 			{Name: "big", Total: Res{16, 0, 64}, Price: 1, SpotPrice: 0.3, BootS: 40, FetchGBps: 1, Zones: zones},
 			{Name: "card", Total: Res{32, 4, 128}, Price: 9, SpotPrice: 3, BootS: 35, FetchGBps: 1, Zones: zones[:1]},
 		},
-		Teams: []Team{{Max: Res{Cores: 30, Cards: 8}}, {}},
+		Teams: []Team{{Max: Res{Cores: 30, GPUs: 8}}, {}},
 	}
 	shapes := []string{wire.Array, wire.Array, wire.Gang, wire.Service}
 	for i := range 1 + rng.IntN(6) {
@@ -31,7 +31,7 @@
 			MemGB: float64(1 + rng.IntN(16)), OneZone: rng.IntN(4) == 0, Spread: rng.IntN(4) == 0, Spot: rng.IntN(2) == 0,
 			Image: fmt.Sprint("img", rng.IntN(2)), ImageGB: 2}
 		if rng.IntN(4) == 0 {
-			d.Cards = float64(1 + rng.IntN(4))
+			d.GPUs = float64(1 + rng.IntN(4))
 		}
 		if rng.IntN(5) == 0 {
 			d.Types = []string{"big", "card"}
@@ -45,14 +45,14 @@
 			j.Waiting = d.Tasks
 		}
 		s.Jobs = append(s.Jobs, j)
-		if d.Cards > 0 {
-			s.CardRank = max(s.CardRank, j.Rank)
-			s.CardNeed = Res{max(s.CardNeed.Cores, d.Cores), max(s.CardNeed.Cards, d.Cards), max(s.CardNeed.Mem, d.MemGB)}
+		if d.GPUs > 0 {
+			s.GPURank = max(s.GPURank, j.Rank)
+			s.GPUNeed = Res{max(s.GPUNeed.Cores, d.Cores), max(s.GPUNeed.GPUs, d.GPUs), max(s.GPUNeed.Mem, d.MemGB)}
 		}
 	}
 	for i := range rng.IntN(9) {
 		m := Machine{ID: fmt.Sprint("m", i), Type: rng.IntN(3), Zone: zones[rng.IntN(2)], Spot: rng.IntN(3) == 0,
-			IdleS: float64(rng.IntN(90)), CardIdleS: float64(rng.IntN(90)), Images: []string{"img0", "img1"}[:rng.IntN(2)], FetchGB: float64(rng.IntN(3)) * 2.5}
+			IdleS: float64(rng.IntN(90)), GPUIdleS: float64(rng.IntN(90)), Images: []string{"img0", "img1"}[:rng.IntN(2)], FetchGB: float64(rng.IntN(3)) * 2.5}
 		m.Free = s.Types[m.Type].Total
 		m.Ready = rng.IntN(4) > 0
 		m.Coming = !m.Ready && rng.IntN(2) == 0
@@ -77,19 +77,19 @@
 func plain(s *Snapshot) map[string]int {
 	out := map[string]int{}
 	free := make([]Res, len(s.Machines))
-	cardTask := make([]bool, len(s.Machines))
+	gpuTask := make([]bool, len(s.Machines))
 	images, fetch := make([][]string, len(s.Machines)), make([]float64, len(s.Machines))
 	for i := range s.Machines {
 		free[i] = s.Machines[i].Free
 		images[i], fetch[i] = slices.Clone(s.Machines[i].Images), s.Machines[i].FetchGB
 	}
 	used := slices.Clone(s.Teams)
-	cardWaits, below := false, s.CardRank
+	gpuWaits, below := false, s.GPURank
 	if below < 0 {
-		below = 2 // no work with cards is known: only the lowest rank
+		below = 2 // no work with GPUs is known: only the lowest rank
 	}
 	for _, j := range s.Jobs {
-		cardWaits = cardWaits || (j.Need.Cards > 0 && j.Waiting > 0 && !j.Resting)
+		gpuWaits = gpuWaits || (j.Need.GPUs > 0 && j.Waiting > 0 && !j.Resting)
 	}
 	for _, ji := range Order(s) {
 		j := &s.Jobs[ji]
@@ -101,7 +101,7 @@
 		limit := 0
 		for u := team.Used; limit < j.Waiting; limit++ {
 			u = u.Sub(j.Need, -1)
-			if (team.Max.Cores > 0 && u.Cores > team.Max.Cores) || (team.Max.Cards > 0 && u.Cards > team.Max.Cards) {
+			if (team.Max.Cores > 0 && u.Cores > team.Max.Cores) || (team.Max.GPUs > 0 && u.GPUs > team.Max.GPUs) {
 				break
 			}
 		}
@@ -120,20 +120,20 @@
 				best, bestCost := -1, 0.0
 				for i, m := range s.Machines {
 					t := s.Types[m.Type]
-					fits := f[i].Cores >= j.Need.Cores && f[i].Cards >= j.Need.Cards && f[i].Mem >= j.Need.Mem
+					fits := f[i].Cores >= j.Need.Cores && f[i].GPUs >= j.Need.GPUs && f[i].Mem >= j.Need.Mem
 					place := (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && (d.Zone == "" || d.Zone == m.Zone) &&
 						(only == "" || only == m.Zone) && (!m.Spot || d.Spot) && (!d.Spread || z[m.Zone] < (d.Tasks+1)/2 || (whole && live[m.Zone] < (d.Tasks+1)/2))
-					if t.Total.Cards > 0 && d.Cards == 0 && plainFits(s, d) {
+					if t.Total.GPUs > 0 && d.GPUs == 0 && plainFits(s, d) {
 						switch {
 						case d.Shape == wire.Service:
 							place = false
-						case cardTask[i]:
-							r := s.CardNeed
-							if f[i].Cores >= r.Cores && f[i].Cards >= r.Cards && f[i].Mem >= r.Mem {
+						case gpuTask[i]:
+							r := s.GPUNeed
+							if f[i].Cores >= r.Cores && f[i].GPUs >= r.GPUs && f[i].Mem >= r.Mem {
 								fits = f[i].Cores-r.Cores >= j.Need.Cores && f[i].Mem-r.Mem >= j.Need.Mem
 							}
 						default:
-							place = place && !cardWaits && j.Rank > below && d.Shape != wire.Gang && m.CardIdleS < s.giveBack(&m)
+							place = place && !gpuWaits && j.Rank > below && d.Shape != wire.Gang && m.GPUIdleS < s.giveBack(&m)
 						}
 					}
 					if d.OneZone && z[zones[0]]+z[zones[1]] > 0 && z[m.Zone] == 0 {
@@ -151,8 +151,8 @@
 					}
 					cost := t.PriceOf(m.Spot) / float64(t.Total.Slots(j.Need)) * max(est, 1)
 					tie := best >= 0 && f[i].Cores < f[best].Cores
-					if d.Cards > 0 {
-						tie = best >= 0 && m.CardIdleS < s.Machines[best].CardIdleS
+					if d.GPUs > 0 {
+						tie = best >= 0 && m.GPUIdleS < s.Machines[best].GPUIdleS
 					}
 					if best < 0 || cost < bestCost-1e-9 || (cost < bestCost+1e-9 && tie) {
 						best, bestCost = i, cost
@@ -204,7 +204,7 @@
 				}
 				free[i] = free[i].Sub(j.Need, 1)
 				live[s.Machines[i].Zone]++
-				cardTask[i] = cardTask[i] || d.Cards > 0
+				gpuTask[i] = gpuTask[i] || d.GPUs > 0
 				team.Used = team.Used.Sub(j.Need, -1)
 				out[j.Ref+"@"+s.Machines[i].ID]++
 			}
@@ -215,7 +215,7 @@
 
 func plainFits(s *Snapshot, d *wire.Job) bool {
 	for _, t := range s.Types {
-		if t.Total.Cards == 0 && d.Cores <= t.Total.Cores && d.MemGB <= t.Total.Mem && (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) {
+		if t.Total.GPUs == 0 && d.Cores <= t.Total.Cores && d.MemGB <= t.Total.Mem && (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) {
 			return true
 		}
 	}
@@ -289,12 +289,12 @@
 			}
 		}
 		for k, f := range free {
-			if f.Cores < -eps || f.Cards < -eps || f.Mem < -eps {
+			if f.Cores < -eps || f.GPUs < -eps || f.Mem < -eps {
 				t.Fatalf("snapshot %d: machine %d is overfull: %+v", i, k, f)
 			}
 		}
 		for k, u := range used {
-			if u.Max.Cores > 0 && u.Used.Cores > max(u.Max.Cores, s.Teams[k].Used.Cores)+eps || u.Max.Cards > 0 && u.Used.Cards > max(u.Max.Cards, s.Teams[k].Used.Cards)+eps {
+			if u.Max.Cores > 0 && u.Used.Cores > max(u.Max.Cores, s.Teams[k].Used.Cores)+eps || u.Max.GPUs > 0 && u.Used.GPUs > max(u.Max.GPUs, s.Teams[k].Used.GPUs)+eps {
 				t.Fatalf("snapshot %d: team %d uses %+v", i, k, u)
 			}
 		}
@@ -342,10 +342,10 @@
 // it starts. Without the guard the small ones take every machine for ever.
 func TestOverdueGangGathers(t *testing.T) {
 	need := Res{4, 4, 8}
-	s := &Snapshot{Rho: 1, GiveBack: 4, OverdueShare: 0.5, CardRank: 2, CardNeed: need, Refused: map[Offer]bool{},
+	s := &Snapshot{Rho: 1, GiveBack: 4, OverdueShare: 0.5, GPURank: 2, GPUNeed: need, Refused: map[Offer]bool{},
 		Types: []Type{{Name: "card", Total: Res{8, 4, 16}, Price: 9, BootS: 35, FetchGBps: 1, Zones: zones}}, Teams: []Team{{}}}
 	add := func(ref string, tasks int, overdue float64) {
-		d := &wire.Job{ID: ref, Shape: wire.Gang, Tasks: tasks, Cores: 4, Cards: 4, MemGB: 8, OneZone: true, Rank: wire.Standard}
+		d := &wire.Job{ID: ref, Shape: wire.Gang, Tasks: tasks, Cores: 4, GPUs: 4, MemGB: 8, OneZone: true, Rank: wire.Standard}
 		s.Jobs = append(s.Jobs, Job{Ref: ref, Desc: d, Need: Need(d), Rank: 2, EstimateS: 60, DueS: 100 - overdue, Waiting: tasks, OverdueS: overdue, Counts: 1})
 	}
 	add("big", 4, 5)
@@ -383,7 +383,7 @@
 // test found one waiting for ever: the machine that was free for a part of it
 // was taken for all it needed. So would be machines in different zones.)
 func TestGangRentsTheRest(t *testing.T) {
-	d := &wire.Job{ID: "g", Shape: wire.Gang, Tasks: 3, Cores: 4, Cards: 2, MemGB: 8, OneZone: true, Spot: true}
+	d := &wire.Job{ID: "g", Shape: wire.Gang, Tasks: 3, Cores: 4, GPUs: 2, MemGB: 8, OneZone: true, Spot: true}
 	s := &Snapshot{Rho: 1, MayRent: true, Refused: map[Offer]bool{}, Teams: []Team{{}},
 		Types: []Type{{Name: "card", Total: Res{8, 4, 16}, Price: 9, SpotPrice: 3, BootS: 35, FetchGBps: 1, Zones: zones}},
 		Jobs:  []Job{{Ref: "g", Desc: d, Need: Need(d), Rank: 1, EstimateS: 60, DueS: -10, Waiting: 3}}}
@@ -402,7 +402,7 @@
 func TestLargestBegin(t *testing.T) {
 	for seed := range uint64(12) {
 		rng := rand.New(rand.NewPCG(seed, 9))
-		s := &Snapshot{Rho: 1, GiveBack: 4, OverdueShare: 0.5, CardRank: 2, CardNeed: Res{4, 4, 8}, Refused: map[Offer]bool{},
+		s := &Snapshot{Rho: 1, GiveBack: 4, OverdueShare: 0.5, GPURank: 2, GPUNeed: Res{4, 4, 8}, Refused: map[Offer]bool{},
 			Types: []Type{
 				{Name: "card", Total: Res{8, 4, 16}, Price: 9, BootS: 35, FetchGBps: 1, Zones: zones},
 				{Name: "cpu", Total: Res{16, 0, 64}, Price: 1, BootS: 35, FetchGBps: 1, Zones: zones},
@@ -442,7 +442,7 @@
 				d := &wire.Job{ID: fmt.Sprint(len(s.Jobs)), MemGB: 8, Spot: true}
 				switch {
 				case rng.Float64() < 0.10: // a gang; of the tasks, half are in the largest
-					d.Shape, d.Tasks, d.Cores, d.Cards, d.OneZone = wire.Gang, []int{1, 1, 1, 1, 2, 2, 2, 4, 4, 16}[rng.IntN(10)], 4, 4, true
+					d.Shape, d.Tasks, d.Cores, d.GPUs, d.OneZone = wire.Gang, []int{1, 1, 1, 1, 2, 2, 2, 4, 4, 16}[rng.IntN(10)], 4, 4, true
 				case rng.Float64() < 0.018:
 					d.Shape, d.Tasks, d.Cores = wire.Array, []int{10, 20, 30, 40, 300}[rng.IntN(5)], 4
 				default:
@@ -492,7 +492,7 @@
 // Room for production is made where the lowest work runs, even if less time
 // would be lost elsewhere.
 func TestLowestIsStoppedFirst(t *testing.T) {
-	s := &Snapshot{Rho: 1, CardRank: -1, Refused: map[Offer]bool{}, Teams: []Team{{}},
+	s := &Snapshot{Rho: 1, GPURank: -1, Refused: map[Offer]bool{}, Teams: []Team{{}},
 		Types: []Type{{Name: "small", Total: Res{4, 0, 16}, Price: 1, BootS: 30, FetchGBps: 1, Zones: zones}}}
 	for i, rank := range []int{0, 2, 3} {
 		d := &wire.Job{ID: fmt.Sprint(i), Shape: wire.Array, Tasks: 1, Cores: 4, MemGB: 4}
@@ -514,7 +514,7 @@
 // That one job found no room on a machine busy fetching says nothing of a like
 // job whose image is there.
 func TestFullIsByImage(t *testing.T) {
-	s := &Snapshot{Rho: 1, CardRank: -1, Refused: map[Offer]bool{}, Teams: []Team{{}},
+	s := &Snapshot{Rho: 1, GPURank: -1, Refused: map[Offer]bool{}, Teams: []Team{{}},
 		Types:    []Type{{Name: "small", Total: Res{4, 0, 16}, Price: 1, BootS: 30, FetchGBps: 1, Zones: zones}},
 		Machines: []Machine{{Zone: "a", Ready: true, Free: Res{4, 0, 16}, Images: []string{"there"}, FetchGB: 2 * tuning.FetchAheadS}}}
 	for i, image := range []string{"elsewhere", "there"} {
--- a/internal/sched/snapshot.go
+++ b/internal/sched/snapshot.go
@@ -13,18 +13,18 @@
 const LowestRank = 3
 
 // Res is an amount of machine resources.
-type Res struct{ Cores, Cards, Mem float64 }
+type Res struct{ Cores, GPUs, Mem float64 }
 
 // Sub takes n times r away.
 func (a Res) Sub(r Res, n int) Res {
 	f := float64(n)
-	return Res{a.Cores - f*r.Cores, a.Cards - f*r.Cards, a.Mem - f*r.Mem}
+	return Res{a.Cores - f*r.Cores, a.GPUs - f*r.GPUs, a.Mem - f*r.Mem}
 }
 
 // Slots is how often need fits into a.
 func (a Res) Slots(need Res) int {
 	n := math.MaxInt32
-	for _, p := range [][2]float64{{a.Cores, need.Cores}, {a.Cards, need.Cards}, {a.Mem, need.Mem}} {
+	for _, p := range [][2]float64{{a.Cores, need.Cores}, {a.GPUs, need.GPUs}, {a.Mem, need.Mem}} {
 		if p[1] > 0 {
 			n = min(n, int(math.Floor(p[0]/p[1]+eps)))
 		}
@@ -60,19 +60,19 @@
 
 // Machine is a machine as seen at the snapshot.
 type Machine struct {
-	ID        string
-	Type      int
-	Zone      string
-	Spot      bool
-	Free      Res
-	Ready     bool     // may be given work now
-	Coming    bool     // boots: its room counts as coming
-	Empty     bool     // nothing may be on it
-	IdleS     float64  // how long it has been empty
-	CardIdleS float64  // with cards: how long none of them has been in use
-	Images    []string // that it has or is fetching
-	FetchGB   float64  // still to be fetched for what is on it
-	Tasks     []Running
+	ID       string
+	Type     int
+	Zone     string
+	Spot     bool
+	Free     Res
+	Ready    bool     // may be given work now
+	Coming   bool     // boots: its room counts as coming
+	Empty    bool     // nothing may be on it
+	IdleS    float64  // how long it has been empty
+	GPUIdleS float64  // with GPUs: how long none of them has been in use
+	Images   []string // that it has or is fetching
+	FetchGB  float64  // still to be fetched for what is on it
+	Tasks    []Running
 }
 
 func (m *Machine) has(image string) bool { return slices.Contains(m.Images, image) }
@@ -125,10 +125,10 @@
 	// OverdueShareIdle is the part that the lowest rank may have while it is so
 	// served, with what of it runs.
 	OverdueShareIdle float64
-	// CardRank is the lowest rank of the work with cards that has been seen, -1
-	// if there was none; CardNeed is the most that a task of it takes.
-	CardRank int
-	CardNeed Res
+	// GPURank is the lowest rank of the work with GPUs that has been seen, -1
+	// if there was none; GPUNeed is the most that a task of it takes.
+	GPURank int
+	GPUNeed Res
 }
 
 // Start puts Count tasks of a job on a machine.
@@ -159,7 +159,7 @@
 }
 
 // Need is what a task takes.
-func Need(j *wire.Job) Res { return Res{j.Cores, j.Cards, j.MemGB} }
+func Need(j *wire.Job) Res { return Res{j.Cores, j.GPUs, j.MemGB} }
 
 // giveBack is how long a machine is kept idle: a number of boots, which is what
 // having it again would take, the fewer the dearer it is against the cheapest
@@ -176,7 +176,7 @@
 
 func quota(t *Team, need Res) int {
 	n := math.MaxInt32
-	for _, q := range [][3]float64{{t.Max.Cores, t.Used.Cores, need.Cores}, {t.Max.Cards, t.Used.Cards, need.Cards}} {
+	for _, q := range [][3]float64{{t.Max.Cores, t.Used.Cores, need.Cores}, {t.Max.GPUs, t.Used.GPUs, need.GPUs}} {
 		if q[0] > 0 && q[2] > 0 {
 			n = min(n, int(math.Floor((q[0]-q[1])/q[2]+eps)))
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -380,18 +380,18 @@
 		m.tasks = append(m.tasks, t)
 		return
 	}
-	cores, cards, mem := m.typ.Cores, m.typ.Cards, m.typ.MemGB
+	cores, gpus, mem := m.typ.Cores, m.typ.GPUs, m.typ.MemGB
 	for _, o := range m.tasks {
 		if o.state != wire.TaskExited {
 			d := &m.w.jobs[o.ref].job
-			cores, cards, mem = cores-d.Cores, cards-d.Cards, mem-d.MemGB
+			cores, gpus, mem = cores-d.Cores, gpus-d.GPUs, mem-d.MemGB
 		}
 	}
 	other := m.find(ref, num)
 	switch {
 	case other != nil && other.state != wire.TaskExited:
 		t.cause = wire.CauseBusy
-	case u.job.Cores > cores+1e-6 || u.job.Cards > cards+1e-6 || u.job.MemGB > mem+1e-6:
+	case u.job.Cores > cores+1e-6 || u.job.GPUs > gpus+1e-6 || u.job.MemGB > mem+1e-6:
 		t.cause = wire.CauseNoRoom
 	default:
 		t.state = wire.TaskFetching
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -331,7 +331,7 @@
 // JobMap spells a job as users do; only what has a value where null is allowed.
 func JobMap(j *wire.Job) map[string]any {
 	m := map[string]any{"ref": j.ID, "workload": j.Class, "owner": j.Team, "shape": j.Shape, "rank": j.Rank,
-		"pieces": j.Tasks, "cores": j.Cores, "cards": j.Cards, "memGb": j.MemGB, "bundle": j.Image,
+		"pieces": j.Tasks, "cores": j.Cores, "cards": j.GPUs, "memGb": j.MemGB, "bundle": j.Image,
 		"imageGb": j.ImageGB, "samePlace": j.OneZone, "spread": j.Spread, "loaners": j.Spot,
 		"guessS": j.EstimateS, "snapshotS": j.CheckpointS, "flushS": j.SaveS, "quarry": nil, "unheardOf": []int{1}}
 	if j.Types != nil {
@@ -443,7 +443,7 @@
 	u := w.jobs[t.ref]
 	d := &u.job
 	zones := map[string]int{}
-	var cores, cards float64
+	var cores, gpus float64
 	for _, o := range w.machines {
 		for _, x := range o.tasks {
 			if !x.onMachine() || x == t {
@@ -457,13 +457,13 @@
 			}
 			if y := w.jobs[x.ref]; y.job.Team == d.Team {
 				cores += y.job.Cores
-				cards += y.job.Cards
+				gpus += y.job.GPUs
 			}
 		}
 	}
 	for _, team := range w.Cfg.Teams {
-		if team.Name == d.Team && ((team.CoresMax > 0 && cores+d.Cores > team.CoresMax+1e-6) || (team.CardsMax > 0 && cards+d.Cards > team.CardsMax+1e-6)) {
-			w.breakRule("quota: %s with %s/%d on %s: %v of %v cores, %v of %v cards at %v", d.Team, t.ref, t.num, m.id, cores+d.Cores, team.CoresMax, cards+d.Cards, team.CardsMax, time.Now())
+		if team.Name == d.Team && ((team.CoresMax > 0 && cores+d.Cores > team.CoresMax+1e-6) || (team.GPUsMax > 0 && gpus+d.GPUs > team.GPUsMax+1e-6)) {
+			w.breakRule("quota: %s with %s/%d on %s: %v of %v cores, %v of %v cards at %v", d.Team, t.ref, t.num, m.id, cores+d.Cores, team.CoresMax, gpus+d.GPUs, team.GPUsMax, time.Now())
 		}
 	}
 	zones[m.zone]++
@@ -545,7 +545,7 @@
 func (w *World) roomFor(u *userJob) bool {
 	d := &u.job
 	on, zones := 0, map[string]int{}
-	var cores, cards float64
+	var cores, gpus float64
 	for _, m := range w.machines {
 		for _, t := range m.tasks {
 			if t.state == wire.TaskExited {
@@ -553,7 +553,7 @@
 			}
 			y := &w.jobs[t.ref].job
 			if y.Team == d.Team {
-				cores, cards = cores+y.Cores, cards+y.Cards
+				cores, gpus = cores+y.Cores, gpus+y.GPUs
 			}
 			if t.ref == d.ID {
 				on++
@@ -565,7 +565,7 @@
 		return false
 	}
 	for _, team := range w.Cfg.Teams {
-		if team.Name == d.Team && ((team.CoresMax > 0 && cores+d.Cores > team.CoresMax+1e-6) || (team.CardsMax > 0 && cards+d.Cards > team.CardsMax+1e-6)) {
+		if team.Name == d.Team && ((team.CoresMax > 0 && cores+d.Cores > team.CoresMax+1e-6) || (team.GPUsMax > 0 && gpus+d.GPUs > team.GPUsMax+1e-6)) {
 			return false
 		}
 	}
@@ -579,10 +579,10 @@
 		for _, t := range m.tasks {
 			if t.state != wire.TaskExited {
 				y := &w.jobs[t.ref].job
-				free.Cores, free.Cards, free.MemGB = free.Cores-y.Cores, free.Cards-y.Cards, free.MemGB-y.MemGB
+				free.Cores, free.GPUs, free.MemGB = free.Cores-y.Cores, free.GPUs-y.GPUs, free.MemGB-y.MemGB
 			}
 		}
-		if d.Cores <= free.Cores+1e-6 && d.Cards <= free.Cards+1e-6 && d.MemGB <= free.MemGB+1e-6 {
+		if d.Cores <= free.Cores+1e-6 && d.GPUs <= free.GPUs+1e-6 && d.MemGB <= free.MemGB+1e-6 {
 			return true
 		}
 	}
--- a/internal/statestore/limits.go
+++ b/internal/statestore/limits.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"sync/atomic"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"marblehaven/internal/config"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -48,10 +46,11 @@
 		if change.Value == nil {
 			continue
 		}
-		size, err := encodeValue(change)
+		raw, size, err := wire.Encode(change.Value)
 		if err != nil {
 			return err
 		}
+		change.Value = raw
 		if size > l.valueBytes() {
 			return fmt.Errorf("%w: %d bytes at %s", ErrTooLarge, size, change.Set)
 		}
@@ -62,17 +61,3 @@
 	}
 	return nil
 }
-
-// encodeValue replaces the value of a change by its encoding and returns its size.
-func encodeValue(change *wire.Change) (int, error) {
-	raw, ok := change.Value.(msgpack.RawMessage)
-	if !ok {
-		encoded, err := wire.Marshal(change.Value)
-		if err != nil {
-			return 0, err
-		}
-		raw = encoded
-		change.Value = raw
-	}
-	return wire.JSONSize(raw)
-}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -37,9 +37,6 @@
 	ErrCompacted = errors.New("state service: changes no longer kept")
 )
 
-// IsNotFound tells whether a read failed because there is no such key.
-func IsNotFound(err error) bool { return errors.Is(err, ErrNotFound) }
-
 // Client is a client of the state service. It is safe for concurrent use.
 type Client struct {
 	base   string
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -241,6 +241,10 @@
 	CloudBurst = 1.5
 	// CloudTick is the pause between cloud list calls, within the call budget.
 	CloudTick = 3 * time.Second
+	// ListLags times the lag of the cloud's list is how long a machine that was given
+	// back may still be named there: twice the lag at times, and a list's pages wait
+	// for their turn among the calls.
+	ListLags = 6
 	// StatePage is how many keys a page of a list of the state service holds at most
 	// (PROTOCOL).
 	StatePage = 1000
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -23,7 +23,7 @@
 	Rank        string   `msgpack:"rank"`
 	Tasks       int      `msgpack:"pieces"`
 	Cores       float64  `msgpack:"cores"`
-	Cards       float64  `msgpack:"cards"`
+	GPUs        float64  `msgpack:"cards"`
 	MemGB       float64  `msgpack:"memGb"`
 	Image       string   `msgpack:"bundle"`
 	ImageGB     float64  `msgpack:"imageGb"`
@@ -217,7 +217,7 @@
 func (r *jobReader) job() *Job {
 	return &Job{
 		ID: r.texts["ref"], Class: r.texts["workload"], Team: r.texts["owner"], Shape: r.texts["shape"], Rank: r.texts["rank"],
-		Tasks: r.tasks, Cores: r.amounts["cores"], Cards: r.amounts["cards"], MemGB: r.amounts["memGb"],
+		Tasks: r.tasks, Cores: r.amounts["cores"], GPUs: r.amounts["cards"], MemGB: r.amounts["memGb"],
 		Image: r.texts["bundle"], ImageGB: r.amounts["imageGb"], Types: r.lists["flavors"], Zone: r.texts["quarry"],
 		OneZone: r.bools["samePlace"], Spread: r.bools["spread"], Spot: r.bools["loaners"],
 		EstimateS: r.amounts["guessS"], CheckpointS: r.amounts["snapshotS"], SaveS: r.amounts["flushS"],
--- a/internal/wire/job_test.go
+++ b/internal/wire/job_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestDecodeJob(t *testing.T) {
-	want := &Job{ID: "req-000412", Class: "train", Team: "vision", Shape: Gang, Rank: High, Tasks: 16, Cores: 8, Cards: 1,
+	want := &Job{ID: "req-000412", Class: "train", Team: "vision", Shape: Gang, Rank: High, Tasks: 16, Cores: 8, GPUs: 1,
 		MemGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, OneZone: true, Spot: true, EstimateS: 240,
 		CheckpointS: 30, SaveS: 4, DeadlineS: 900}
 	m := valid()
--- a/internal/wire/jsonsize.go
+++ b/internal/wire/jsonsize.go
@@ -14,6 +14,19 @@
 // maxDepth bounds how deep values may be nested when they are measured.
 const maxDepth = 32
 
+// Encode encodes a value, unless it is encoded already, and returns its size as
+// JSONSize does.
+func Encode(value any) (raw msgpack.RawMessage, size int, err error) {
+	raw, encoded := value.(msgpack.RawMessage)
+	if !encoded {
+		if raw, err = Marshal(value); err != nil {
+			return nil, 0, err
+		}
+	}
+	size, err = JSONSize(raw)
+	return raw, size, err
+}
+
 // JSONSize returns how many bytes a MessagePack value takes as JSON, the form in
 // which PROTOCOL measures sizes. Where JSON leaves a choice it returns the longer
 // form, so that it never says too little.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -126,7 +126,7 @@
 type MachineType struct {
 	Name      string   `msgpack:"label"`
 	Cores     float64  `msgpack:"cores"`
-	Cards     float64  `msgpack:"cards"`
+	GPUs      float64  `msgpack:"cards"`
 	MemGB     float64  `msgpack:"memGb"`
 	CacheGB   float64  `msgpack:"cacheGb"`
 	FetchGBps float64  `msgpack:"fetchGbPerS"`
--- a/marblehaven.go
+++ b/marblehaven.go
@@ -191,7 +191,7 @@
 func (n *node) writeVersion(ctx context.Context) error {
 	key := ledger.NodeKey(n.cfg.Node)
 	it, err := n.store.Get(ctx, key)
-	if err != nil && !statestore.IsNotFound(err) {
+	if err != nil && !errors.Is(err, statestore.ErrNotFound) {
 		return err
 	}
 	var v ledger.Version
--- a/scenario_test.go
+++ b/scenario_test.go
@@ -761,7 +761,7 @@
 // services, given to up, and eight arrays run.
 func hundreds(t *testing.T, seed uint64, scenario func(c *cluster, up func([]string) func() bool)) {
 	dep := deployment()
-	dep.Teams = []config.Team{{Name: "red", Cores: 500, CoresMax: 2000, Cards: 4, CardsMax: 8}, {Name: "blue", Cores: 500, CoresMax: 2000}}
+	dep.Teams = []config.Team{{Name: "red", Cores: 500, CoresMax: 2000, GPUs: 4, GPUsMax: 8}, {Name: "blue", Cores: 500, CoresMax: 2000}}
 	names := []string{"marble-0", "marble-1", "marble-2", "marble-3", "marble-4"}
 	runIn(t, seed, names, dep, func(c *cluster) {
 		c.net.Repeat = map[string]time.Duration{"/hello": 40 * time.Second, "/do": 20 * time.Second}
