Read all open jobs at once where many wait, and bound retries of throttled calls

Cause: a question about a job that waits reads what that needs; if one of these reads was throttled all were made again, up to 15 times. Beyond some hundred waiting jobs the questions after any outage kept the state service throttling for minutes, the leader's requests with them.

Mend: a node reads at most 64 such jobs one by one in a quarter of cancel_s, and then all open jobs at once, which serve all questions for as long; a throttled call is made again only within a budget of a fifth of the calls that succeed. In the test none of the requests long after the outage counts as too many throttled. The checker of the stand-ins is shown to find each broken rule in a made-up history (TestCheckerFindsBrokenRules).

--- a/dependencies_test.go
+++ b/dependencies_test.go
@@ -1,6 +1,7 @@
 package marblehaven
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -193,6 +194,56 @@
 	})
 }
 
+// Users ask about hundreds of jobs that wait for others, at a rate that the state
+// service can just answer, and an outage lets the questions pile up. It is answering
+// them all soon after, and throttles few requests: calls that were throttled and made
+// again and again, each with all that it had read before, kept it busy for minutes, and
+// jobs were forgotten. (Found on the users' bench, at production size.)
+func TestQuestionsAtSize(t *testing.T) {
+	dep := deployment()
+	dep.Teams[0].CoresMax = 2 // no job begins beside the first
+	runIn(t, 66, nodeNames, dep, func(c *cluster) {
+		const jobs = 300
+		c.submit(sweep(1, "stage", 2), 1000)
+		var names, refs []string
+		for i := range 12 {
+			j := after(sweep(2+i, "stage", 1), jobID(1))
+			c.submit(j, 5)
+			names = append(names, j.ID)
+		}
+		for i := range jobs {
+			j := after(sweep(100+i, "stage", 1), names[i%4], names[4+i%4], names[8+i%4])
+			c.submit(j, 5)
+			refs = append(refs, j.ID)
+		}
+		c.w.State.LimitRequests(120)
+		ctx, stop := context.WithCancel(c.ctx)
+		for i, ref := range refs {
+			go func() {
+				time.Sleep(time.Duration(i) * 5 * time.Second / jobs)
+				for ctx.Err() == nil {
+					c.w.Poll(ref)
+					time.Sleep(5 * time.Second)
+				}
+			}()
+		}
+		time.Sleep(20 * time.Second)
+		c.w.State.Refuse("", true)
+		time.Sleep(25 * time.Second)
+		c.w.State.Refuse("", false)
+		c.known(refs...)
+		time.Sleep(20 * time.Second)
+		requests, throttled := c.w.State.Requests, c.w.State.Throttled
+		time.Sleep(time.Minute)
+		requests, throttled = c.w.State.Requests-requests, c.w.State.Throttled-throttled
+		if throttled > requests/20 {
+			t.Errorf("%d of %d requests were throttled long after the outage", throttled, requests)
+		}
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // A dependency whose records can't be read leaves the job waiting: it neither starts
 // nor is forgotten nor called done.
 func TestUnreadableDependency(t *testing.T) {
--- a/internal/api/dependencies.go
+++ b/internal/api/dependencies.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"marblehaven/internal/config"
 	"marblehaven/internal/ledger"
 	"marblehaven/internal/tuning"
 	"marblehaven/internal/wire"
@@ -63,71 +64,71 @@
 // dependencyWalk goes through the jobs that a job needs, level by level.
 type dependencyWalk struct {
 	*Users
-	asOf time.Time       // what is found holds for this time
-	seen map[string]bool // jobs that were met
-	open []string        // of them, those that are open
-	// single counts the jobs that were read one by one. Beyond
-	// tuning.DependencyReads all open jobs are read at once, into openJobs, and what is
-	// not among these one by one again, as many.
-	single   int
-	openJobs map[string]ledger.OpenJob
-	leftOut  bool // not all that is over could be read
+	asOf    time.Time       // what is found holds for this time
+	seen    map[string]bool // jobs that were met
+	open    []string        // of them, those that are open
+	single  int             // jobs that were read one by one
+	leftOut bool            // not all that is over could be read
 }
 
 // findLevel finds the jobs among those named that were not met before and that this
-// node does not know to be open.
+// node does not know to be open. Few are read one by one, more all at once; what is not
+// open then is read one by one again, not more than tuning.DependencyReads for an
+// answer, and remembered.
 func (w *dependencyWalk) findLevel(ctx context.Context, refs []string) ([]found, error) {
-	var level []string
+	level := w.unseen(refs)
+	listing, ok := w.openJobs.known()
+	out, left := w.findListed(level, listing, ok)
+	if len(left) > 0 && !ok && !w.openJobs.maySingle(len(left)) {
+		listing, err := w.openJobs.read(ctx)
+		if err != nil {
+			return nil, err
+		}
+		var listed []found
+		listed, left = w.findListed(left, listing, true)
+		out = append(out, listed...)
+	}
+	if most := max(0, tuning.DependencyReads-w.single); len(left) > most {
+		left, w.leftOut = left[:most], true
+	}
+	w.single += len(left)
+	return append(out, w.findAll(ctx, left)...), nil
+}
+
+// unseen picks the jobs that were not met before and that are not known to be open.
+func (w *dependencyWalk) unseen(refs []string) (out []string) {
 	for _, ref := range refs {
 		if w.seen[ref] {
 			continue
 		}
 		w.seen[ref] = true
 		if at, ok := w.openAsOf(ref); !ok {
-			level = append(level, ref)
+			out = append(out, ref)
 		} else if at.Before(w.asOf) {
 			w.asOf = at
 		}
 	}
-	if w.openJobs == nil && w.single+len(level) > tuning.DependencyReads {
-		if err := w.readOpenJobs(ctx); err != nil {
-			return nil, err
-		}
-	}
-	var out []found
-	var read []string
-	for _, ref := range level {
-		if open, ok := w.openJobs[ref]; ok {
-			out = append(out, found{ref: ref, job: &known{version: openVersion, open: open, status: openStatus(ref, &open)}})
-		} else if w.single < tuning.DependencyReads {
-			w.single++
-			read = append(read, ref)
-		} else {
-			w.leftOut = true
-		}
-	}
-	return append(out, w.findAll(ctx, read)...), nil
+	return out
 }
 
-// readOpenJobs reads all open jobs at once: a long chain takes as many reads one by one.
-func (w *dependencyWalk) readOpenJobs(ctx context.Context) error {
-	items, err := w.Store.ListAll(ctx, ledger.PrefixOpen)
-	if err != nil {
-		return err
-	}
-	w.openJobs, w.single = map[string]ledger.OpenJob{}, 0
-	for _, item := range items.Items {
-		ref, piece := ledger.SplitOpen(item.Key)
-		if piece != ledger.NoPiece {
-			continue
-		}
-		var open ledger.OpenJob
-		if err := wire.Unmarshal(item.Value, &open); err != nil {
-			open = ledger.OpenJob{Cancelled: ledger.SaysCancelled(item.Value)}
+// findListed finds jobs without a request, in what is remembered of those that are over
+// and in a reading of the open ones, and returns which are left.
+func (w *dependencyWalk) findListed(refs []string, listing jobListing, reliable bool) (out []found, left []string) {
+	for _, ref := range refs {
+		open, listed := listing.jobs[ref]
+		switch status, over := w.finalStatus(ref); {
+		case over:
+			out = append(out, found{ref: ref, job: &known{status: status}})
+		case reliable && listed:
+			out = append(out, found{ref: ref, job: &known{version: openVersion, open: open, status: openStatus(ref, &open)}})
+			if listing.asOf.Before(w.asOf) {
+				w.asOf = listing.asOf
+			}
+		default:
+			left = append(left, ref)
 		}
-		w.openJobs[ref] = open
 	}
-	return nil
+	return out, left
 }
 
 // take draws the conclusions from a job that was found.
@@ -227,8 +228,13 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	at = u.open[ref]
-	lasts := u.Config.Deployment.Workers.CancelS * tuning.DependencyCheckShare
-	return at, time.Since(at) < time.Duration(lasts*float64(time.Second))
+	return at, time.Since(at) < dependencyCheck(u.Config)
+}
+
+// dependencyCheck is how long a node relies on what it knows of the jobs that others
+// wait for.
+func dependencyCheck(c *config.Config) time.Duration {
+	return time.Duration(c.Deployment.Workers.CancelS * tuning.DependencyCheckShare * float64(time.Second))
 }
 
 // forgetOpen forgets that a job was open: its user is about to be told that it is
--- a/internal/api/lookup.go
+++ b/internal/api/lookup.go
@@ -26,10 +26,7 @@
 // read after the open one, and closing moves the job in one commit, so a job
 // found at neither place was at neither when the open record was read.
 func (u *Users) find(ctx context.Context, ref string) (*known, error) {
-	u.mu.Lock()
-	st, ok := u.finals[ref]
-	u.mu.Unlock()
-	if ok {
+	if st, ok := u.finalStatus(ref); ok {
 		return &known{status: st}, nil
 	}
 	// All records of an open job in one read: o/<ref>, o/<ref>/t and its further
@@ -44,6 +41,14 @@
 	return u.finalJob(ctx, ref)
 }
 
+// finalStatus returns the remembered status of a job that is over.
+func (u *Users) finalStatus(ref string) (wire.JobStatus, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	status, ok := u.finals[ref]
+	return status, ok
+}
+
 // openJob makes of an open job's records what its user may be told.
 func (u *Users) openJob(ref string, items []wire.Item) *known {
 	k := &known{version: items[0].Version, status: wire.JobStatus{ID: ref, Phase: wire.PhaseQueued}}
--- /dev/null
+++ b/internal/api/openjobs.go
@@ -0,0 +1,93 @@
+package api
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/statestore"
+	"marblehaven/internal/tuning"
+	"marblehaven/internal/wire"
+)
+
+// openJobs reads all open jobs at once and keeps them as long as may be relied on.
+// Where many jobs wait for others, reading what they need job by job would take more
+// requests than the state service answers. It is safe for concurrent use.
+type openJobs struct {
+	store *statestore.Client
+	lasts time.Duration // how long a reading may be relied on
+	// reading is held by whoever reads; the others wait for the same reading.
+	reading chan struct{}
+
+	mu     sync.Mutex // guards the rest
+	latest jobListing
+	// single counts the jobs read one by one since the time, see maySingle.
+	single int
+	since  time.Time
+}
+
+// jobListing is all open jobs at some time.
+type jobListing struct {
+	asOf time.Time
+	jobs map[string]ledger.OpenJob
+}
+
+func newOpenJobs(store *statestore.Client, lasts time.Duration) *openJobs {
+	return &openJobs{store: store, lasts: lasts, reading: make(chan struct{}, 1)}
+}
+
+// known returns the latest reading if it may still be relied on.
+func (o *openJobs) known() (jobListing, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.latest, time.Since(o.latest.asOf) < o.lasts
+}
+
+// maySingle tells whether some more jobs may be read one by one: not more than
+// tuning.DependencyReads in the time for which a reading lasts.
+func (o *openJobs) maySingle(jobs int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if time.Since(o.since) >= o.lasts {
+		o.single, o.since = 0, time.Now()
+	}
+	if o.single+jobs > tuning.DependencyReads {
+		return false
+	}
+	o.single += jobs
+	return true
+}
+
+// read returns a reading that may be relied on, a new one if need be.
+func (o *openJobs) read(ctx context.Context) (jobListing, error) {
+	select {
+	case o.reading <- struct{}{}:
+		defer func() { <-o.reading }()
+	case <-ctx.Done():
+		return jobListing{}, ctx.Err()
+	}
+	if listing, ok := o.known(); ok {
+		return listing, nil
+	}
+	listing := jobListing{asOf: time.Now(), jobs: map[string]ledger.OpenJob{}}
+	items, err := o.store.ListAll(ctx, ledger.PrefixOpen)
+	if err != nil {
+		return jobListing{}, err
+	}
+	for _, item := range items.Items {
+		ref, piece := ledger.SplitOpen(item.Key)
+		if piece != ledger.NoPiece {
+			continue
+		}
+		var open ledger.OpenJob
+		if err := wire.Unmarshal(item.Value, &open); err != nil {
+			open = ledger.OpenJob{Cancelled: ledger.SaysCancelled(item.Value)}
+		}
+		listing.jobs[ref] = open
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.latest = listing
+	return listing, nil
+}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -36,6 +36,8 @@
 
 	types        atomic.Pointer[[]sched.Type]
 	acknowledged acknowledgedJobs
+	openJobs     *openJobs
+	retries      *retryBudget
 	mu           sync.Mutex // guards finals and open
 	finals       map[string]wire.JobStatus
 	open         map[string]time.Time // see confirmOpen
@@ -43,7 +45,9 @@
 
 // NewUsers makes the users' side of a node.
 func NewUsers(c *config.Config, store *statestore.Client, log *slog.Logger) *Users {
-	return &Users{Config: c, Store: store, Log: log, acknowledged: newAcknowledgedJobs(time.Now()), finals: map[string]wire.JobStatus{}, open: map[string]time.Time{}}
+	return &Users{Config: c, Store: store, Log: log, acknowledged: newAcknowledgedJobs(time.Now()),
+		openJobs: newOpenJobs(store, dependencyCheck(c)), retries: newRetryBudget(),
+		finals: map[string]wire.JobStatus{}, open: map[string]time.Time{}}
 }
 
 // SetTypes tells which machine types there are; before, nothing is accepted.
@@ -109,15 +113,17 @@
 }
 
 // settle runs one attempt after another until there is a certain answer. Being
-// throttled is waited out a few times; a refusal is passed on at once.
+// throttled is waited out a few times, within the budget for retries; a refusal is
+// passed on at once.
 func (u *Users) settle(ctx context.Context, tries int, try func() (answer, error)) answer {
 	for throttled := 0; ; {
 		a, err := try()
 		switch {
 		case err == nil:
+			u.retries.succeeded()
 			return a
 		case errors.Is(err, statestore.ErrThrottled):
-			if throttled++; throttled > tries {
+			if throttled++; throttled > tries || !u.retries.take() {
 				return busy
 			}
 		case errors.Is(err, statestore.ErrRefused):
--- /dev/null
+++ b/internal/standin/checker_test.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/ledger"
+	"marblehaven/internal/wire"
+)
+
+const (
+	first  = "req-000001"
+	second = "req-000002" // waits for the first
+)
+
+// history is a world without controllers, whose history a test makes up.
+type history struct {
+	*World
+	machine *machine
+}
+
+// newHistory has two jobs of a task each, accepted, a machine that is up, and a record
+// that places the first job's task there.
+func newHistory(ctx context.Context) *history {
+	cfg := config.Deployment{Workers: config.Workers{ReportS: 2.5, LeaseS: 1000, CancelS: 37}}
+	w := NewWorld(ctx, NewNetwork(1), cfg, []wire.MachineType{{Name: "big", Cores: 16, MemGB: 64, Zones: []string{"a"}}})
+	w.Register(wire.Job{ID: first, Shape: wire.Array, Tasks: 1, Cores: 1})
+	w.Register(wire.Job{ID: second, Shape: wire.Array, Tasks: 1, Cores: 1, Awaits: []string{first}})
+	h := &history{World: w}
+	w.mu.Lock()
+	id := w.newMachine("big", "a", false)
+	h.machine = w.machines[id]
+	w.mu.Unlock()
+	time.Sleep(time.Second) // it is up
+	h.record(first, id)
+	return h
+}
+
+func (h *history) record(ref, machine string) {
+	h.State.Put(ledger.PieceKey(ref, 0), ledger.Run{Next: 2, Live: []ledger.Placement{{Attempt: 1, Machine: machine}}})
+}
+
+// run makes a job's task run on the machine, as if a controller had started it.
+func (h *history) run(ref string) *task {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	running := &task{ref: ref, attempt: 1, state: wire.TaskRunning, since: time.Now(), left: 1e6}
+	h.machine.tasks = append(h.machine.tasks, running)
+	h.started(h.machine, running)
+	return running
+}
+
+// tell judges that a job's user is told a phase.
+func (h *history) tell(ref, phase string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := h.jobs[ref]
+	h.judge(u, *u, wire.JobStatus{ID: ref, Phase: phase})
+}
+
+func (h *history) askToCancel(ref string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobs[ref].cancelAsked = true
+}
+
+// The checker finds each broken rule in a history that breaks it, and none in the one
+// that does not.
+func TestCheckerFindsBrokenRules(t *testing.T) {
+	const pastCancel = 40 * time.Second
+	for _, b := range []struct {
+		name string
+		play func(h *history)
+		want string // "": no rule is broken
+	}{
+		{"a recorded task runs", func(h *history) { h.run(first) }, ""},
+		{"a task runs that no record names", func(h *history) { h.record(first, "m-000009"); h.run(first) }, "orphaned: no record names"},
+		{"the record goes before the task", func(h *history) {
+			h.run(first)
+			h.State.Remove(ledger.PieceKey(first, 0))
+		}, "orphaned: no record names"},
+		{"a record that can't be read", func(h *history) { h.run(first); h.State.Spoil(ledger.PieceKey(first, 0)) }, ""},
+		{"a job starts before the one that it waits for is done", func(h *history) {
+			h.record(second, h.machine.id)
+			h.run(second)
+		}, "too_early"},
+		{"a job starts though the one that it waits for was cancelled at its end", func(h *history) {
+			h.jobs[first].finished[0] = true
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			h.record(second, h.machine.id)
+			h.run(second)
+		}, "too_early"},
+		{"a cancelled job's task goes on", func(h *history) {
+			h.run(first)
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			time.Sleep(pastCancel)
+		}, "ran_cancelled"},
+		{"it ends in time", func(h *history) {
+			running := h.run(first)
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			h.mu.Lock()
+			h.machine.exit(running, wire.CauseStopped)
+			h.mu.Unlock()
+			time.Sleep(pastCancel)
+		}, ""},
+		{"a job's task goes on after one that it needs was cancelled", func(h *history) {
+			h.record(second, h.machine.id)
+			h.jobs[first].finished[0] = true
+			h.run(second)
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			time.Sleep(pastCancel)
+		}, "ran_cancelled"},
+		{"a job is called queued long after one that it needs was cancelled", func(h *history) {
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			time.Sleep(pastCancel)
+			h.tell(second, wire.PhaseQueued)
+		}, "orphaned: " + second},
+		{"it is called cancelled", func(h *history) {
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			time.Sleep(pastCancel)
+			h.tell(second, wire.PhaseCancelled)
+		}, ""},
+		{"a job is called done before it is", func(h *history) { h.run(first); h.tell(first, wire.PhaseDone) }, "not_done"},
+		{"a cancelled job is called queued", func(h *history) {
+			h.askToCancel(first)
+			h.tell(first, wire.PhaseCancelled)
+			h.tell(first, wire.PhaseQueued)
+		}, "went_back"},
+		{"a task starts while it runs", func(h *history) { h.run(first); h.run(first) }, "ran_twice"},
+	} {
+		t.Run(b.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				h := newHistory(ctx)
+				b.play(h)
+				time.Sleep(time.Second)
+				broken := strings.Join(h.Broken(), "\n")
+				if (b.want == "" && broken != "") || !strings.Contains(broken, b.want) {
+					t.Errorf("found %q, not %q", broken, b.want)
+				}
+				cancel()
+				time.Sleep(time.Second) // all that is under way ends
+			})
+		})
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -48,6 +48,10 @@
 	// and changes beyond the rate get 429.
 	limited bool
 	rate    *rate.Limiter
+	// requests is the limit of requests; nil is none. Requests counts them all, and
+	// Throttled those beyond the limit.
+	requests            *rate.Limiter
+	Requests, Throttled int
 	// Refusals counts what the limits refused, by status.
 	Refusals map[int]int
 	// LoseReply picks applied commits that are not answered.
@@ -113,6 +117,13 @@
 	s.rate = rate.NewLimiter(rate.Limit(l.WriteRPS), int(l.WriteRPS))
 }
 
+// LimitRequests sets how many requests a second are served.
+func (s *State) LimitRequests(rps float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = rate.NewLimiter(rate.Limit(rps), int(rps))
+}
+
 // Put stores a record, as an earlier process would have.
 func (s *State) Put(key string, value any) {
 	raw, err := wire.Marshal(value)
@@ -233,6 +244,11 @@
 		answer(w, 503, nil)
 		return
 	}
+	if s.Requests++; s.requests != nil && !s.requests.Allow() {
+		s.Throttled++
+		answer(w, 429, nil)
+		return
+	}
 	q := r.URL.Query()
 	body, _ := io.ReadAll(r.Body)
 	switch path := r.URL.Path; {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -29,6 +29,11 @@
 	// PollThrottleTries is the same for a poll, which has 2 s and, unlike a
 	// submission, comes again only seconds later.
 	PollThrottleTries = 15
+	// RetryBudget is how many retries of throttled requests a node may make beyond
+	// RetryShare for each request that succeeds: enough for a burst of submissions,
+	// while lasting overload is not made worse by more than that share.
+	RetryBudget = 60.0
+	RetryShare  = 0.2
 	// RetryAfterS tells refused users when to come back, in seconds.
 	RetryAfterS = 1
 	// GrantLife is the life of the leader's grant: a dead leader is noticed
@@ -155,9 +160,9 @@
 	// fit in its record, with ids of the largest form in 30 bytes each, and in
 	// one transaction's conditions. Pipelines have a handful.
 	DependenciesMost = 32
-	// DependencyReads bounds the jobs that are read one by one to answer for one job
-	// that waits for others: a few pipelines' worth, within a second's requests. For
-	// more, all open jobs are read at once, which takes some pages.
+	// DependencyReads bounds the jobs that jobs wait for which are read one by one, for
+	// an answer and by a node within DependencyCheckShare of cancel_s: a few pipelines'
+	// worth. For more, all open jobs are read at once, which takes some pages.
 	DependencyReads = 64
 	// DependencyCheckShare is the part of cancel_s for which a node relies on what it
 	// last knew of a job and of those that it waits for: whoever was told that one of
