--- /dev/null
+++ b/production_size_test.go
@@ -0,0 +1,176 @@
+package marblehaven
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"marblehaven/internal/config"
+	"marblehaven/internal/wire"
+)
+
+// productionSize is a deployment with five controllers in which hundreds of machines are
+// rented, with the rates of a state service that serves as many, and smaller limits
+// announced.
+func productionSize() ([]string, config.Deployment) {
+	d := wide()
+	d.Teams = []config.Team{{Name: "red", Cores: 1000, CoresMax: 4000, GPUs: 4, GPUsMax: 16}, {Name: "blue", Cores: 1000, CoresMax: 4000}}
+	return []string{"marble-0", "marble-1", "marble-2", "marble-3", "marble-4"}, d
+}
+
+// load is what users submit at production size, and what they cancel.
+type load struct {
+	*cluster
+	rng       *rand.Rand
+	jobs      int
+	pipelines int
+	kept      []string // must be done in the end, unless one that they need is cancelled
+}
+
+// arrays submits large arrays of both teams.
+func (l *load) arrays(count int) {
+	for range count {
+		l.jobs++
+		j := sweep(l.jobs, "check", 60+l.rng.IntN(60))
+		j.Team, j.EstimateS = []string{"red", "blue"}[l.jobs%2], 60
+		l.submit(j, 40)
+		l.kept = append(l.kept, j.ID)
+	}
+}
+
+// chains submits pipelines, and cancels one job in every second of them some time later.
+func (l *load) chains(count int) {
+	for range count {
+		l.pipelines++
+		refs := l.pipeline(10000 + 10*l.pipelines)
+		l.kept = append(l.kept, refs...)
+		if l.pipelines%2 == 0 {
+			continue
+		}
+		pause, stage := time.Duration(l.rng.IntN(30))*time.Second, l.rng.IntN(4)
+		go func() {
+			time.Sleep(pause)
+			if l.ctx.Err() == nil {
+				l.w.Withdraw(refs[stage])
+			}
+		}()
+	}
+}
+
+// ask lets users ask about jobs as long as the scenario lasts.
+func (l *load) ask() {
+	go func() {
+		for l.ctx.Err() == nil {
+			ref := l.kept[int(l.w.Random()*float64(len(l.kept)))]
+			go l.w.Poll(ref)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+}
+
+// some picks a share of the machines.
+func (l *load) some(share float64) []string {
+	return slices.DeleteFunc(l.w.Machines(), func(string) bool { return l.w.Random() >= share })
+}
+
+// trouble begins one of the troubles that the operators expect, and returns what ends it.
+func (l *load) trouble(kind int) (over func()) {
+	var ends []func()
+	leader := l.leader()
+	switch kind {
+	case 0: // answers are lost, transactions are throttled and refused
+		l.w.State.Fault = l.faultyCommits()
+		ends = append(ends, func() { l.w.State.Fault = nil })
+	case 1: // transactions are carried out late
+		l.w.State.Late = l.lateCommits(0.15)
+		ends = append(ends, func() { l.w.State.Late = nil })
+	case 2: // the leader is refused, and then everybody, while users cancel
+		l.w.State.Refuse(leader, true)
+		l.chains(2)
+		time.Sleep(time.Second)
+		l.w.State.Refuse("", true)
+		ends = append(ends, func() {
+			l.w.State.Refuse("", false)
+			l.w.State.Refuse(leader, false)
+		})
+	case 3: // the leader keeps its workers and users only
+		if leader != "" {
+			ends = append(ends, l.leaveWorkers(leader))
+		}
+	case 4: // machines reach no controller, others hear none
+		for _, m := range l.some(0.1) {
+			ends = append(ends, l.net.Mute(m))
+		}
+		for _, m := range l.some(0.1) {
+			ends = append(ends, l.net.Deafen(m))
+		}
+	case 5: // machines hang, and some die
+		for _, m := range l.some(0.05) {
+			ends = append(ends, l.w.Hang(m))
+		}
+		for _, m := range l.some(0.05) {
+			l.w.Kill(m)
+		}
+	case 6: // leaders end one after another, and are back at once
+		for range 3 {
+			if old := l.killLeader(); old != "" {
+				l.boot(old)
+			}
+			time.Sleep(3 * time.Second)
+		}
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// At production size: hundreds of machines, lists of several pages, run records in
+// pieces and chains of jobs, through an upgrade, the smaller limits that follow, and all
+// kinds of trouble in pairs. The stand-ins judge it.
+func TestProductionSize(t *testing.T) {
+	const kinds = 7
+	for seed := range seeds(1) {
+		names, dep := productionSize()
+		runUpgradeIn(t, 810+seed, names, dep, func(c *cluster) {
+			l := &load{cluster: c, rng: rand.New(rand.NewPCG(seed, 13))}
+			c.net.Repeat = map[string]time.Duration{"/hello": 40 * time.Second, "/do": 20 * time.Second, "/commit": 20 * time.Second}
+			c.w.State.PageMost, c.w.PageMost = 40, 70
+			l.arrays(12)
+			c.until("hundreds run", 3*time.Minute, func() bool { return len(c.w.Machines()) >= 200 })
+			for _, name := range names {
+				c.restartAs(false, name)
+				time.Sleep(2 * time.Second)
+			}
+			c.untilUpgraded(time.Minute)
+			c.w.State.Limit(dep.State.Smaller())
+			c.w.State.LimitRequests(dep.State.RPS)
+			l.ask()
+			for range 5 {
+				l.chains(4)
+				l.arrays(2)
+				first := l.rng.IntN(kinds)
+				second := (first + 1 + l.rng.IntN(kinds-1)) % kinds
+				endFirst := l.trouble(first)
+				time.Sleep(time.Duration(l.rng.IntN(5000)) * time.Millisecond)
+				endSecond := l.trouble(second)
+				time.Sleep(time.Duration(10+l.rng.IntN(35)) * time.Second)
+				endFirst()
+				endSecond()
+				time.Sleep(time.Duration(l.rng.IntN(10)) * time.Second)
+			}
+			time.Sleep(30 * time.Second)
+			c.w.Calm()
+			kept := slices.DeleteFunc(slices.Clone(l.kept), func(ref string) bool { return !c.w.MayFinish(ref) })
+			c.known(kept...)
+			c.untilDone(10*time.Minute, kept...)
+			for _, ref := range l.kept {
+				if got := c.phase(ref); got != wire.PhaseDone && got != wire.PhaseCancelled {
+					t.Errorf("%s is %s in the end", ref, got)
+				}
+			}
+		})
+	}
+}
--- a/upgrade_test.go
+++ b/upgrade_test.go
@@ -33,8 +33,12 @@
 
 // runUpgrade plays a scenario that begins with the previous version on all nodes.
 func runUpgrade(t *testing.T, seed uint64, scenario func(c *cluster)) {
-	runIn(t, seed, nodeNames, wide(), func(c *cluster) {
-		c.restartAs(true, nodeNames...)
+	runUpgradeIn(t, seed, nodeNames, wide(), scenario)
+}
+
+func runUpgradeIn(t *testing.T, seed uint64, names []string, dep config.Deployment, scenario func(c *cluster)) {
+	runIn(t, seed, names, dep, func(c *cluster) {
+		c.restartAs(true, names...)
 		c.w.State.OnCommit = func(txn *wire.Commit) {
 			c.checkGuards(txn)
 			c.checkFormat(txn)
@@ -43,7 +47,7 @@
 			c.w.State.Remove(key)
 		}
 		c.w.State.Remove(ledger.KeyCluster)
-		c.restartAs(true, nodeNames...)
+		c.restartAs(true, names...)
 		c.until("a node leads", time.Minute, func() bool { return c.leader() != "" })
 		scenario(c)
 	})
