--- a/dependencies_test.go
+++ b/dependencies_test.go
@@ -233,9 +233,10 @@
 		c.w.State.Refuse("", false)
 		c.known(refs...)
 		time.Sleep(20 * time.Second)
-		requests, throttled := c.w.State.Requests, c.w.State.Throttled
+		requestsBefore, throttledBefore := c.w.State.Asked()
 		time.Sleep(time.Minute)
-		requests, throttled = c.w.State.Requests-requests, c.w.State.Throttled-throttled
+		requests, throttled := c.w.State.Asked()
+		requests, throttled = requests-requestsBefore, throttled-throttledBefore
 		if throttled > requests/20 {
 			t.Errorf("%d of %d requests were throttled long after the outage", throttled, requests)
 		}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -48,10 +48,10 @@
 	// and changes beyond the rate get 429.
 	limited bool
 	rate    *rate.Limiter
-	// requests is the limit of requests; nil is none. Requests counts them all, and
-	// Throttled those beyond the limit.
-	requests            *rate.Limiter
-	Requests, Throttled int
+	// requests is the limit of requests; nil is none. asked counts them all, and
+	// throttled those beyond the limit.
+	requests         *rate.Limiter
+	asked, throttled int
 	// Refusals counts what the limits refused, by status.
 	Refusals map[int]int
 	// LoseReply picks applied commits that are not answered.
@@ -124,6 +124,13 @@
 	s.requests = rate.NewLimiter(rate.Limit(rps), int(rps))
 }
 
+// Asked is how many requests there were, and how many of them were throttled.
+func (s *State) Asked() (requests, throttled int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked, s.throttled
+}
+
 // Put stores a record, as an earlier process would have.
 func (s *State) Put(key string, value any) {
 	raw, err := wire.Marshal(value)
@@ -244,8 +251,8 @@
 		answer(w, 503, nil)
 		return
 	}
-	if s.Requests++; s.requests != nil && !s.requests.Allow() {
-		s.Throttled++
+	if s.asked++; s.requests != nil && !s.requests.Allow() {
+		s.throttled++
 		answer(w, 429, nil)
 		return
 	}
--- a/internal/statestore/apply_test.go
+++ b/internal/statestore/apply_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,9 +30,10 @@
 	state    *standin.State
 	client   *statestore.Client
 	versions map[string]uint64 // as the writer believes
-	executed map[int]int       // how often each transaction was carried out, by number
-	outcome  map[int]error     // what the writer was told of it
-	number   int               // of the transaction under way
+	outcome  map[int]error     // what the writer was told of each transaction
+	mu       sync.Mutex
+	executed map[int]int // how often each was carried out, by number; guarded by mu
+	number   int         // of the transaction under way
 }
 
 func newWriter(t *testing.T, seed uint64) *writer {
@@ -45,7 +47,9 @@
 		for _, guard := range txn.Guards {
 			var number int
 			if _, err := fmt.Sscanf(guard.Key, "number/%d", &number); err == nil {
+				w.mu.Lock()
 				w.executed[number]++
+				w.mu.Unlock()
 			}
 		}
 	}
@@ -53,6 +57,13 @@
 	return w
 }
 
+// times is how often a transaction was carried out.
+func (w *writer) times(number int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executed[number]
+}
+
 // newTerm makes copies of all earlier transactions fail, and reads the versions.
 func (w *writer) newTerm() {
 	w.state.Put(fence, w.number)
@@ -120,8 +131,9 @@
 		return
 	}
 	if w.rng.IntN(3) == 0 { // its user cancels it meanwhile
+		pause := time.Duration(w.rng.IntN(400)) * time.Millisecond
 		go func() {
-			time.Sleep(time.Duration(w.rng.IntN(400)) * time.Millisecond)
+			time.Sleep(pause)
 			if w.state.Value("open") != nil {
 				w.state.Put("open", "cancelled")
 			}
@@ -134,8 +146,8 @@
 	w.outcome[w.number] = err
 	switch {
 	case err == nil:
-		if w.executed[w.number] != 1 {
-			w.t.Errorf("transaction %d is said to be carried out, and was %d times", w.number, w.executed[w.number])
+		if n := w.times(w.number); n != 1 {
+			w.t.Errorf("transaction %d is said to be carried out, and was %d times", w.number, n)
 		}
 		w.learn(&txn, reply.Revision)
 	case errors.Is(err, statestore.ErrConflict):
@@ -159,15 +171,16 @@
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWriter(t, seed)
+			faults := rand.New(rand.NewPCG(seed, 4)) // the service asks for one fault at a time
 			w.state.Fault = func(*wire.Commit) standin.Fault {
 				return []standin.Fault{standin.None, standin.None, standin.None, standin.AnswerLost,
-					standin.NotExecuted, standin.OverLimit, standin.Throttled}[w.rng.IntN(7)]
+					standin.NotExecuted, standin.OverLimit, standin.Throttled}[faults.IntN(7)]
 			}
 			w.state.Late = func() time.Duration {
-				if w.rng.IntN(6) > 0 {
+				if faults.IntN(6) > 0 {
 					return 0
 				}
-				return time.Duration(100+w.rng.IntN(10000)) * time.Millisecond
+				return time.Duration(100+faults.IntN(10000)) * time.Millisecond
 			}
 			for range 40 {
 				w.step()
@@ -182,7 +195,7 @@
 					conflicts++
 					fallthrough
 				default:
-					if w.executed[number] > 0 {
+					if w.times(number) > 0 {
 						t.Errorf("transaction %d was carried out, and its writer told %v", number, err)
 					}
 				}
