--- a/internal/controller/job_test.go
+++ b/internal/controller/job_test.go
@@ -231,3 +231,34 @@
 		t.Errorf("a rest of an hour became one of %v", j.restUntil.Sub(now))
 	}
 }
+
+// A task that a worker reports and no record names is stopped, counted and described.
+func TestUnknownTask(t *testing.T) {
+	c, now := large(2, 1)
+	r := fullReport(c, 0, 2)
+	stray := wire.TaskReport{Task: "req-000000/59", Attempt: 9, State: wire.TaskRunning}
+	r.Tasks = append(r.Tasks, stray, wire.TaskReport{Task: "req-999999/0", Attempt: 1, State: wire.TaskExited},
+		wire.TaskReport{Task: "nonsense", Attempt: 1, State: wire.TaskFetching})
+	var stopped []string
+	for _, order := range c.onHello(r, now).Orders {
+		if order.Verb == wire.VerbStop {
+			stopped = append(stopped, order.Task)
+		}
+	}
+	if d := cmp.Diff([]string{stray.Task, "nonsense"}, stopped); d != "" {
+		t.Error("stopped", d)
+	}
+	c.decide(now)
+	want := []UnknownTask{
+		{Task: stray.Task, Attempt: 9, State: wire.TaskRunning, Machine: "m-000000", Job: "the task waits"},
+		{Task: "nonsense", Attempt: 1, State: wire.TaskFetching, Machine: "m-000000", Job: "not open"},
+	}
+	if d := cmp.Diff(want, c.status.Unknown); d != "" || c.status.UnknownTasks != 2 {
+		t.Errorf("%d unknown tasks, %s", c.status.UnknownTasks, d)
+	}
+	c.onHello(fullReport(c, 0, 3), now)
+	c.summarized = time.Time{}
+	if c.decide(now); c.status.UnknownTasks != 0 {
+		t.Errorf("%d unknown tasks after they have ended", c.status.UnknownTasks)
+	}
+}
