--- a/internal/standin/checker_test.go
+++ b/internal/standin/checker_test.go
@@ -62,10 +62,12 @@
 	h.judge(u, *u, wire.JobStatus{ID: ref, Phase: phase})
 }
 
-func (h *history) askToCancel(ref string) {
+// cancel makes a job's user cancel it and be told so.
+func (h *history) cancel(ref string) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.jobs[ref].cancelAsked = true
+	h.mu.Unlock()
+	h.tell(ref, wire.PhaseCancelled)
 }
 
 // The checker finds each broken rule in a history that breaks it, and none in the one
@@ -90,21 +92,18 @@
 		}, "too_early"},
 		{"a job starts though the one that it waits for was cancelled at its end", func(h *history) {
 			h.jobs[first].finished[0] = true
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			h.record(second, h.machine.id)
 			h.run(second)
 		}, "too_early"},
 		{"a cancelled job's task goes on", func(h *history) {
 			h.run(first)
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			time.Sleep(pastCancel)
 		}, "ran_cancelled"},
 		{"it ends in time", func(h *history) {
 			running := h.run(first)
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			h.mu.Lock()
 			h.machine.exit(running, wire.CauseStopped)
 			h.mu.Unlock()
@@ -114,26 +113,22 @@
 			h.record(second, h.machine.id)
 			h.jobs[first].finished[0] = true
 			h.run(second)
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			time.Sleep(pastCancel)
 		}, "ran_cancelled"},
 		{"a job is called queued long after one that it needs was cancelled", func(h *history) {
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			time.Sleep(pastCancel)
 			h.tell(second, wire.PhaseQueued)
 		}, "orphaned: " + second},
 		{"it is called cancelled", func(h *history) {
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			time.Sleep(pastCancel)
 			h.tell(second, wire.PhaseCancelled)
 		}, ""},
 		{"a job is called done before it is", func(h *history) { h.run(first); h.tell(first, wire.PhaseDone) }, "not_done"},
 		{"a cancelled job is called queued", func(h *history) {
-			h.askToCancel(first)
-			h.tell(first, wire.PhaseCancelled)
+			h.cancel(first)
 			h.tell(first, wire.PhaseQueued)
 		}, "went_back"},
 		{"a task starts while it runs", func(h *history) { h.run(first); h.run(first) }, "ran_twice"},
