Show that two jobs with a mistake keep machines from taking work

Cause: a machine on which tasks of two jobs failed is quarantined, and nothing ends the quarantine of a machine that is not empty.

--- a/review/review_test.go
+++ b/review/review_test.go
@@ -25,3 +25,5 @@
 func TestReviewOutageWhileBooting(t *testing.T) { runCase(t, "1") }
 
 func TestReviewReplacedLeader(t *testing.T) { runCase(t, "2") }
+
+func TestReviewMistakenJobs(t *testing.T) { runCase(t, "3") }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(w *world) verdict{
 	"outage-while-booting": outageWhileBooting,
 	"replaced-leader":      replacedLeader,
+	"mistaken-jobs":        mistakenJobs,
 }
 
 // verdict is the result of a case. problem is set if the case could not run, violation if
