Let the replaced leader wake from a standstill in case 2

Cause: the case needed three links of the leader to be cut at once.

Change: case 2 stops the leader's process for 36 s and cuts the two links for 40 s; links to workers cannot be cut any more.

--- a/review/standin/case_replaced.go
+++ b/review/standin/case_replaced.go
@@ -4,16 +4,19 @@
 
 import (
 	"fmt"
+	"syscall"
 	"time"
 
 	"marblehaven/internal/config"
 	"marblehaven/internal/protocol"
 )
 
-// Sizes and times of the case replacedLeader.
+// Sizes and times of the case replacedLeader. The site files let controllers stand still for
+// up to 37 s and cut them for up to 65 s.
 const (
 	replacedServices = 6
-	replacedCut      = 40 * time.Second // shorter than the cuts of the site files, which last up to 65 s
+	replacedFreeze   = 36 * time.Second
+	replacedCut      = 40 * time.Second // begins together with the freeze
 	replacedAfter    = 10 * time.Second
 )
 
@@ -39,9 +42,10 @@
 		Priority: protocol.PriorityProduction, Tasks: tasks, Cores: cores, MemGB: 2, Image: "img-01", ImageGB: 0.5}
 }
 
-// replacedLeader: services run on four machines. The leader loses the state service, the
-// other controllers and the workers at once, and another controller leads. The replaced
-// leader must not return machines on which tasks of its successor run.
+// replacedLeader: services run on four machines. The leader stands still, is cut from the
+// state service and the other controllers meanwhile and a little longer, and another
+// controller leads. The replaced leader must not return machines on which tasks of its
+// successor run.
 func replacedLeader(w *world) verdict {
 	if err := w.start(savekeep(2, 2)); err != nil {
 		return verdict{problem: err.Error()}
@@ -51,16 +55,14 @@
 		return verdict{problem: "no controller serves"}
 	}
 	violations := make(chan string, 1)
-	w.cloud.mu.Lock()
-	w.cloud.returned = func(by *node, names []string) {
+	w.cloud.onReturn(func(by *node, names []string) {
 		if violation := w.returnByReplaced(by, names); violation != "" {
 			select {
 			case violations <- violation:
 			default:
 			}
 		}
-	}
-	w.cloud.mu.Unlock()
+	})
 	var jobs []*job
 	for i := range replacedServices {
 		j := w.newJob(service(200+i, 2, 1), 0)
@@ -75,37 +77,46 @@
 	}
 	time.Sleep(2 * time.Second)
 	if w.trouble {
-		w.rec.add("trouble", "%s loses the state service, the other controllers and the workers", leader.name)
-		if err := w.isolate(leader, true); err != nil {
+		if err := w.standStillAndCut(leader); err != nil {
 			return verdict{problem: err.Error()}
 		}
+	} else {
+		time.Sleep(replacedCut)
 	}
-	violation := ""
-	report := func(limit time.Duration) {
-		for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-			select {
-			case violation = <-violations:
-			default:
-			}
-			w.rec.add("check", "%d of %d replicas run", w.replicas(jobs), 2*replacedServices)
-		}
+	time.Sleep(replacedAfter)
+	w.rec.add("check", "%d of %d replicas run", w.replicas(jobs), 2*replacedServices)
+	select {
+	case violation := <-violations:
+		return verdict{violation: violation}
+	default:
+		return verdict{}
 	}
-	report(replacedCut)
-	if w.trouble {
-		w.rec.add("trouble", "%s reaches everybody again", leader.name)
-		if err := w.isolate(leader, false); err != nil {
-			return verdict{problem: err.Error()}
-		}
+}
+
+// standStillAndCut stops a controller and cuts it from the state service and the other
+// controllers, lets it go on, and ends the cut.
+func (w *world) standStillAndCut(n *node) error {
+	w.rec.add("trouble", "%s stands still, cut from the state service and the other controllers", n.name)
+	if err := n.process.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	if err := w.cutFromOthers(n, true); err != nil {
+		return err
+	}
+	time.Sleep(replacedFreeze)
+	w.rec.add("trouble", "%s goes on", n.name)
+	if err := n.process.Process.Signal(syscall.SIGCONT); err != nil {
+		return err
 	}
-	report(replacedAfter)
-	return verdict{violation: violation}
+	time.Sleep(replacedCut - replacedFreeze)
+	w.rec.add("trouble", "%s reaches everybody again", n.name)
+	return w.cutFromOthers(n, false)
 }
 
-// isolate cuts a controller from the state service, the workers and the other controllers,
-// or ends the cut.
-func (w *world) isolate(n *node, cut bool) error {
+// cutFromOthers cuts a controller from the state service, which becomes silent, and from the
+// other controllers, whose connections are refused, or ends the cut.
+func (w *world) cutFromOthers(n *node, cut bool) error {
 	n.state.set(cut)
-	n.workers.set(cut)
 	for _, from := range w.nodes {
 		for _, proxy := range from.peerProxies {
 			if from != n && proxy.target != n.peerAddr {
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -130,6 +130,13 @@
 	return names
 }
 
+// onReturn sets a function that is called before machines are returned.
+func (c *cloud) onReturn(returned func(by *node, names []string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.returned = returned
+}
+
 // rented counts the machines that are rented.
 func (c *cloud) rented() int {
 	c.mu.Lock()
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// link is the network between a controller and one kind of other host. While it is cut, it
-// is silent: what is sent is lost, and nothing is answered.
+// link is the network between a controller and the state service. While it is cut, it is
+// silent: what is sent is lost, and nothing is answered.
 type link struct {
 	mu  sync.Mutex
 	cut bool
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -58,8 +58,8 @@
 	endsAt time.Time // of a running task; zero: it runs until it is stopped
 }
 
-// newWorker returns the worker of a machine that is not up yet. Its commands can be reached
-// through one address for each controller, so that a single link can be cut.
+// newWorker returns the worker of a machine that is not up yet. It has one address for each
+// controller, by which it tells who sent a command.
 func newWorker(w *world, m *machine) *worker {
 	k := &worker{w: w, m: m, addresses: map[*node]string{}, tenure: 1, images: map[string]time.Time{}, at: rand.IntN(nodeCount)}
 	for _, n := range w.nodes {
@@ -212,13 +212,7 @@
 func (k *worker) exchange(client *http.Client, to *node, status protocol.Heartbeat, sent time.Time) bool {
 	ctx, cancel := context.WithTimeout(k.w.ctx, reportTimeout)
 	defer cancel()
-	code, body := 0, []byte(nil)
-	if to.workers.pass(ctx) {
-		code, body = post(ctx, client, "http://"+to.apiAddr+"/hello", status)
-	}
-	if to.workers.isCut() {
-		code = 0 // the answer is lost
-	}
+	code, body := post(ctx, client, "http://"+to.apiAddr+"/hello", status)
 	if code == http.StatusOK {
 		var answer protocol.HeartbeatReply
 		if codec.Unmarshal(body, &answer) == nil {
@@ -267,7 +261,7 @@
 // serveCommands serves direct commands and questions of one controller.
 func (k *worker) serveCommands(rw http.ResponseWriter, r *http.Request, from *node) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil || !from.workers.pass(r.Context()) {
+	if err != nil {
 		panic(http.ErrAbortHandler) // no answer
 	}
 	k.w.mu.Lock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -48,7 +48,7 @@
 	stateAddr          string // the state service, as this controller reaches it
 	cloudAddr          string
 	peerProxies        []*refuser // towards the other controllers
-	state, workers     link
+	state              link       // to the state service
 	process            *exec.Cmd
 	exited             chan struct{} // closed when the process has ended
 	configPath, logEnd string
