Give case 1 more jobs and machines

Change: 240 jobs on 30 machines in place of 128 on 16, tasks that run for two minutes, and boot times so that none is up before the outage.

--- a/review/standin/case_outage.go
+++ b/review/standin/case_outage.go
@@ -13,14 +13,14 @@
 // Sizes of the case outageWhileBooting: jobs with their tasks, and machines that have room
 // for all of them together.
 const (
-	outageJobs     = 128
+	outageJobs     = 240
 	outageTasks    = 40
-	outageMachines = 16               // each has room for the tasks of eight jobs
-	outageLeast    = 15               // so many are rented before the trouble
+	outageMachines = 30               // each has room for the tasks of eight jobs
+	outageLeast    = 29               // so many are rented before the trouble
 	outageMax      = 25 * time.Second // as long as the longest outage in the site files
 )
 
-// outageWhileBooting: users submit 128 arrays while no machine is up. The state service is
+// outageWhileBooting: users submit 240 arrays while no machine is up. The state service is
 // down while the machines boot, and serves again once all are up. Then every job has to
 // begin: each fits, and there is room for all.
 func outageWhileBooting(w *world) verdict {
@@ -32,7 +32,7 @@
 		types: []protocol.MachineType{{Name: "workhorse", Cores: 32, MemGB: 128, CacheGB: 70, FetchGBps: 1, Price: 2.19, SpotPrice: 0.73,
 			BootS: 10, Zones: []string{"zamalek"}}},
 		capacity: map[string]int{"zamalek": outageMachines},
-		bootS:    func(n int) float64 { return 7 + float64(n%8) }, // 0.7 to 1.4 times bootS
+		bootS:    func(n int) float64 { return 8 + 0.5*float64(n%8) }, // 0.8 to 1.15 times bootS
 	})
 	if err != nil {
 		return verdict{problem: err.Error()}
@@ -44,7 +44,7 @@
 	for i := range jobs {
 		jobs[i] = w.newJob(protocol.Job{ID: protocol.JobID(fmt.Sprintf("req-%06d", 100+i)), Class: "uploadcheck", Team: "studiotech",
 			Kind: protocol.KindArray, Priority: protocol.PriorityStandard, Tasks: outageTasks, Cores: 0.1, MemGB: 0.3, Image: "img-01", ImageGB: 1,
-			EstimateS: 30, DeadlineS: 60}, 30)
+			EstimateS: 120, DeadlineS: 180}, 120)
 		go func() { accepted <- w.submit(jobs[i]) }()
 		time.Sleep(30 * time.Millisecond)
 	}
