--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -26,8 +26,12 @@
 	workerStep     = 20 * time.Millisecond
 	reportSpread   = 0.25
 	roundingErrors = 1e-6
+	failedAfter    = 30 * time.Second
 )
 
+// machineRunning is the phase of a machine that is up, in the cloud's list.
+const machineRunning protocol.MachineState = "running"
+
 // worker is a small stand-in of the worker on a machine, after its section of the protocol
 // page. Gangs of several tasks and checkpoints are left out: no case has them. The world's
 // mutex guards its state.
@@ -37,6 +41,7 @@
 	addresses map[*node]string // its address as each controller reaches it
 
 	up, gone     bool
+	stoppedAt    time.Time // when the machine stopped; zero: it has not
 	tenure, tick uint64
 	baton        uint64
 	leaseFrom    time.Time // when the last answered report was sent, or the session began
@@ -74,10 +79,18 @@
 
 func (k *worker) addressFor(n *node) string { return k.addresses[n] }
 
-func (k *worker) isUp() bool {
+// phase returns the machine's phase in the cloud's list. A machine that has stopped is
+// listed as running for a while.
+func (k *worker) phase() protocol.MachineState {
 	k.w.mu.Lock()
 	defer k.w.mu.Unlock()
-	return k.up
+	switch {
+	case !k.up:
+		return protocol.MachineStarting
+	case !k.stoppedAt.IsZero() && time.Since(k.stoppedAt) > failedAfter:
+		return protocol.MachineFailed
+	}
+	return machineRunning
 }
 
 // begin starts the worker when its machine has booted.
@@ -107,6 +120,15 @@
 	k.w.rec.add(k.m.name, "gone with %d tasks", len(k.onMachine()))
 }
 
+// stop stops the machine with all that is on it: its tasks are gone, and from now on it is
+// silent.
+func (k *worker) stop() {
+	k.remove()
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	k.stoppedAt = time.Now()
+}
+
 // onMachine lists the tasks that are on the machine: those that have their image and have
 // not ended.
 func (k *worker) onMachine() (tasks []*task) {
@@ -266,6 +288,11 @@
 	}
 	k.w.mu.Lock()
 	defer k.w.mu.Unlock()
+	if !k.stoppedAt.IsZero() {
+		k.w.mu.Unlock()
+		<-r.Context().Done() // silent
+		k.w.mu.Lock()
+	}
 	if !k.up || k.gone {
 		panic(http.ErrAbortHandler)
 	}
