--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the cases of the second review start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review2/standin2 ./review/standin2
