--- a/review/review_2_test.go
+++ b/review/review_2_test.go
@@ -18,3 +18,5 @@
 }
 
 func TestSecondReviewStaleReturn(t *testing.T) { runSecondCase(t, "4") }
+
+func TestSecondReviewLeftWaiting(t *testing.T) { runSecondCase(t, "5") }
