Case 6 of the second review: a task lost in a restart of machine and leader

Cause: a new leader restores a placement with the session in which it was made, and then meets the worker in a lower session. Only a leader that has accepted an earlier report detects a restart, so the placement never ends, and answered reports move its last proof, the end of the lease, on for ever.

Change: adds case 6 (a machine that has lost its lease once and the leader end together and are back at once), and restarts of machines in the stand-in.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,12 +23,14 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"stale-return": staleReturn,
 	"left-waiting": leftWaiting,
+	"restarted":    restarted,
 }
 
 // sites holds the settings of each case.
 var sites = map[string]func() site{
 	"stale-return": savekeep,
 	"left-waiting": tightSavekeep,
+	"restarted":    oneMachine,
 }
 
 func main() {
--- a/review/standin2/users.go
+++ b/review/standin2/users.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -54,6 +55,15 @@
 	return body
 }
 
+// poll asks each controller for the state of a job.
+func (w *world) poll(id protocol.JobID) {
+	for _, c := range w.controllers {
+		var reply protocol.JobStatus
+		status := call(w.client, http.MethodGet, fmt.Sprintf("http://%s/v1/jobs/%s", c.api, id), nil, &reply, pollTimeout)
+		w.record.add("user: asks %s about %s: %d %s, %d done, %d running", c.name, id, status, reply.Phase, reply.Done, reply.Running)
+	}
+}
+
 // running returns how many tasks of a job are on machines.
 func (w *world) running(id protocol.JobID) int {
 	w.mu.Lock()
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -29,6 +29,7 @@
 	isUp      bool
 	gone      bool
 	mute      bool // its reports reach no controller
+	boots     int  // how often it has restarted
 	images    map[string]bool
 
 	tenure       uint64
@@ -113,6 +114,17 @@
 	m.leaseFrom = now
 }
 
+// restart restarts the machine: its worker counts from the beginning again and has no tasks.
+func (m *machine) restart() {
+	m.world.record.add("machine %s restarts, %d tasks are gone", m.id, len(m.tasks))
+	for _, t := range m.tasks {
+		m.release(t)
+	}
+	m.tasks, m.changed = nil, true
+	m.tenure, m.tick, m.baton, m.leaseFrom = 1, 0, 0, time.Now()
+	m.boots++
+}
+
 // release gives back what a task that has not ended takes of the machine.
 func (m *machine) release(t *task) {
 	if t.state != protocol.TaskExited {
@@ -300,12 +312,12 @@
 			continue
 		}
 		m.changed = false
-		report := m.report()
+		sent := sentReport{report: m.report(), boots: m.boots, at: time.Now()}
 		target := m.world.controllers[m.reportsTo]
 		m.world.mu.Unlock()
-		last = time.Now()
+		last = sent.at
 		interval = m.nextInterval()
-		m.sendReport(target, report, last)
+		m.sendReport(target, sent)
 	}
 }
 
@@ -321,31 +333,40 @@
 	Leader string                `msgpack:"steward"`
 }
 
+// sentReport is a report with the time at which it was sent and how often the machine had
+// restarted by then.
+type sentReport struct {
+	report *protocol.Heartbeat
+	boots  int
+	at     time.Time
+}
+
 const reportTimeout = 4 * time.Second
 
-// sendReport sends a report and does what the answer says.
-func (m *machine) sendReport(target *controller, report *protocol.Heartbeat, sent time.Time) {
+// sendReport sends a report and does what the answer says. An answer to a report from before a
+// restart is lost.
+func (m *machine) sendReport(target *controller, sent sentReport) {
 	if healed, _ := target.cut.current(); healed != nil {
 		select { // the report does not arrive
 		case <-time.After(reportTimeout):
 		case <-healed:
-			time.Sleep(time.Until(sent.Add(reportTimeout)))
+			time.Sleep(time.Until(sent.at.Add(reportTimeout)))
 		}
 		m.nextTarget()
 		return
 	}
 	var reply reportReply
-	status := call(m.world.client, http.MethodPost, "http://"+target.api+"/hello", report, &reply, reportTimeout)
+	status := call(m.world.client, http.MethodPost, "http://"+target.api+"/hello", sent.report, &reply, reportTimeout)
 	m.world.mu.Lock()
 	defer m.world.mu.Unlock()
-	if m.gone {
+	if m.gone || sent.boots != m.boots {
 		return
 	}
 	if status == http.StatusOK {
-		if reply.Baton < m.baton || uint64(report.Incarnation) != m.tenure {
+		if reply.Baton < m.baton || uint64(sent.report.Incarnation) != m.tenure {
 			return
 		}
-		m.leaseFrom, m.answeredFrom = sent, target.name
+		m.leaseFrom, m.answeredFrom = sent.at, target.name
 		m.world.holders[reply.Baton.Term()] = target
 		m.see(reply.Baton)
 		m.execute(reply.Orders)
