--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Case 4: a leader that was replaced returns the machines of its successor.
-exec bash "$(dirname "$0")/../case-2.sh" stale-return "$(dirname "$0")"
+# Case 4: a late copy of a report from before a machine's restart makes a task run twice.
+exec bash "$(dirname "$0")/../case-2.sh" late-copy "$(dirname "$0")"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Case 5: a production service is left waiting beside a machine that has room for it.
-exec bash "$(dirname "$0")/../case-2.sh" left-waiting "$(dirname "$0")"
+# Case 5: a leader that was replaced returns the machines of its successor.
+exec bash "$(dirname "$0")/../case-2.sh" stale-return "$(dirname "$0")"
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,15 +22,15 @@
 // could not run. trouble says whether the disruption is played.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"stale-return": staleReturn,
-	"left-waiting": leftWaiting,
 	"restarted":    restarted,
+	"late-copy":    lateCopy,
 }
 
 // sites holds the settings of each case.
 var sites = map[string]func() site{
 	"stale-return": savekeep,
-	"left-waiting": tightSavekeep,
 	"restarted":    oneMachine,
+	"late-copy":    threeMachines,
 }
 
 func main() {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -45,7 +45,7 @@
 	claims   map[string][]string
 	returns  []returnCall
 	jobs     map[string]*job
-	starts   []startEvent
+	twice    []string // tasks that started on one machine while they were on another
 	// holders says which controller answered reports with a token of each term.
 	holders map[protocol.Term]*controller
 }
