Case 4: count the copy's delay from the report itself

Cause: the delay was counted from the restart, up to 3 s after the report. Change: the stand-in keeps when the latest report was sent.

--- a/review/standin2/case_late_copy.go
+++ b/review/standin2/case_late_copy.go
@@ -31,7 +31,7 @@
 	m := w.firstMachine()
 	time.Sleep(time.Second)
 	w.mu.Lock()
-	report, sentAt := m.lastSent, time.Now()
+	report, sentAt := m.lastSent.report, m.lastSent.at
 	if trouble {
 		m.restart()
 	}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -28,9 +28,9 @@
 	rentedAt  time.Time
 	isUp      bool
 	gone      bool
-	mute      bool                // its reports reach no controller
-	boots     int                 // how often it has restarted
-	lastSent  *protocol.Heartbeat // the latest report
+	mute      bool       // its reports reach no controller
+	boots     int        // how often it has restarted
+	lastSent  sentReport // the latest report
 	images    map[string]bool
 
 	tenure       uint64
@@ -317,7 +317,7 @@
 		}
 		m.changed = false
 		sent := sentReport{report: m.report(), boots: m.boots, at: time.Now()}
-		m.lastSent = sent.report
+		m.lastSent = sent
 		target := m.world.controllers[m.reportsTo]
 		m.world.mu.Unlock()
 		last = sent.at
