--- a/review/standin2/case_late_copy.go
+++ b/review/standin2/case_late_copy.go
@@ -17,7 +17,7 @@
 }
 
 // copyDelay is how much later than the report a copy of it arrives.
-const copyDelay = 12 * time.Second
+const copyDelay = 16 * time.Second
 
 // lateCopy lets a machine restart, waits until tasks run on it again, and then lets a copy of a
 // report from before the restart arrive, and looks whether a task of the machine is started on
@@ -36,7 +36,7 @@
 		m.restart()
 	}
 	w.mu.Unlock()
-	time.Sleep(5 * time.Second)
+	time.Sleep(9 * time.Second)
 	second := first
 	second.ID, second.Image, second.Tasks = "req-000412", "img-08", 3
 	if !w.submit(second, 40) || !w.await(20*time.Second, func() bool { return w.running(second.ID) == 3 }) {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -129,7 +129,7 @@
 		m.release(t)
 	}
 	m.tasks, m.changed = nil, true
-	m.tenure, m.tick, m.baton, m.leaseFrom = 1, 0, 0, time.Now()
+	m.tenure, m.tick, m.baton, m.batonChanged, m.leaseFrom = 1, 0, 0, time.Time{}, time.Now()
 	m.boots++
 }
 
