--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -11,7 +11,7 @@
 }
 target/review2/standin2 "$name" "$folder/record.txt" &
 process=$!
-trap 'kill "$process" 2>/dev/null' INT TERM
+trap 'kill "$process" 2>/dev/null; wait "$process"; exit 2' INT TERM
 wait "$process"
 code=$?
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
