--- a/review/standin2/case_late_copy.go
+++ b/review/standin2/case_late_copy.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 package main
 
 import (
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 // Command standin2 plays a case of the second review: it starts the controllers with the
 // command of the deploy file, plays the state service, the cloud, the workers and the users
 // around them on loopback, and judges what these see.
