Refuse heartbeats from before a machine's restart by their token

Cause: heartbeats and statuses were ordered by incarnation and number alone, and both begin anew with a restart. After a proven restart every heartbeat from before it counted as newer than all that the restarted agent sent. Tasks that the copy did not list were taken for ended.

Change: a heartbeat or status with a lower token than the newest one is not newer. An agent forgets its token only when it restarts. After a proven restart this covers all messages from before it, since the proof is a token that was never sent before and tasks are placed only after a higher one is acknowledged.

TestCopyFromBeforeRestartProvesNothing and both variants of TestLateCopyFromBeforeReboot failed without the change and pass with it; scripts/test passes.

--- a/internal/cluster/heartbeat_order.go
+++ b/internal/cluster/heartbeat_order.go
@@ -11,7 +11,8 @@
 // case. Statuses in the answers to direct commands are not heartbeats and are not ordered
 // here.
 type heartbeatOrder struct {
-	lastAccepted heartbeatID // of the newest accepted heartbeat
+	lastAccepted heartbeatID           // of the newest accepted heartbeat
+	lastToken    protocol.FencingToken // in the newest accepted heartbeat
 	// probeToken is a token that no earlier message to the agent carried. The leader
 	// sends it in the reply to a heartbeat that is not newer than the accepted ones. 0
 	// means that no probe is outstanding.
@@ -36,13 +37,14 @@
 }
 
 // accept reports whether the heartbeat is newer than all accepted ones, and if so records
-// it.
+// it. An agent that has not restarted never sends a lower token than before, so a heartbeat
+// with a lower token is from before or after a restart, however high its number is.
 func (o *heartbeatOrder) accept(heartbeat *protocol.Heartbeat) bool {
 	id := heartbeatIDOf(heartbeat)
-	if !o.lastAccepted.before(id) {
+	if !o.lastAccepted.before(id) || heartbeat.Token < o.lastToken {
 		return false
 	}
-	o.lastAccepted = id
+	o.lastAccepted, o.lastToken = id, heartbeat.Token
 	o.withdrawProbe(heartbeat.Token)
 	return true
 }
@@ -58,7 +60,7 @@
 
 // recordRestart makes the heartbeat of a restarted agent the first of a new order.
 func (o *heartbeatOrder) recordRestart(heartbeat *protocol.Heartbeat) {
-	o.lastAccepted = heartbeatIDOf(heartbeat)
+	o.lastAccepted, o.lastToken = heartbeatIDOf(heartbeat), heartbeat.Token
 	o.probeToken = 0
 	o.restarted = true
 }
--- a/internal/cluster/heartbeat_order_test.go
+++ b/internal/cluster/heartbeat_order_test.go
@@ -117,3 +117,44 @@
 		t.Error("the incarnation after a restart was treated as another restart")
 	}
 }
+
+// After a proved restart every heartbeat from before it has a higher number than those of
+// the restarted agent, but a lower token. No such copy counts, whatever its incarnation: it
+// would end the tasks that the restarted agent runs.
+func TestCopyFromBeforeRestartProvesNothing(t *testing.T) {
+	for _, incarnation := range []protocol.Incarnation{1, 2} {
+		machine, placement, now := machineWithStart(t)
+		machine.RecordCommandOutcome(true, true)
+		before := newHeartbeat(1, 88, firstToken+1)
+		machine.AcceptHeartbeat(before)
+		machine.ApplyStatus(before, parseTask, now, now.Add(leaseDuration))
+		machine.RemovePlacement(placement, now)
+		machine.DetectRestart(newHeartbeat(1, 1, 0))
+		restarted := newHeartbeat(1, 2, machine.IssuedToken)
+		if !machine.DetectRestart(restarted) {
+			t.Fatal("the restart was not detected")
+		}
+		machine.ApplyStatus(restarted, parseTask, now, now.Add(leaseDuration))
+		acknowledged := newHeartbeat(1, 3, machine.IssuedToken)
+		if !machine.AcceptHeartbeat(acknowledged) {
+			t.Fatal("a heartbeat of the restarted agent was refused")
+		}
+		machine.ApplyStatus(acknowledged, parseTask, now, now.Add(leaseDuration))
+		placement = &Placement{TaskKey: TaskKey{"req-2", 0}, Attempt: 1, Incarnation: 1, Machine: machine, Recorded: true}
+		machine.Placements[placement.TaskKey] = placement
+		machine.RecordStart(placement)
+		running := newHeartbeat(1, 4, machine.IssuedToken, protocol.TaskStatus{Task: "req-2/0", Attempt: 1, State: protocol.TaskRunning})
+		machine.AcceptHeartbeat(running)
+		machine.ApplyStatus(running, parseTask, now, now.Add(leaseDuration))
+		copied := newHeartbeat(incarnation, 89, firstToken+1)
+		if machine.AcceptHeartbeat(copied) || machine.DetectRestart(copied) {
+			t.Errorf("a copy of incarnation %d from before the restart was accepted", incarnation)
+		}
+		if ended, fresh := machine.ApplyStatus(copied, parseTask, now, now.Add(leaseDuration)); fresh || len(ended) > 0 {
+			t.Errorf("a copy of incarnation %d from before the restart ended %v", incarnation, ended)
+		}
+		if next := newHeartbeat(1, 5, machine.IssuedToken); !machine.AcceptHeartbeat(next) {
+			t.Error("the heartbeat after the copy was refused")
+		}
+	}
+}
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -41,6 +41,13 @@
 	return ended, true
 }
 
+// isNewer reports whether a status is newer than the applied ones. A lower token than the
+// acknowledged one shows that the status is from before or after a restart of the agent,
+// so that its number says nothing about its age.
+func (m *Machine) isNewer(status *protocol.Heartbeat) bool {
+	return status.Token >= m.AcknowledgedToken && m.AgentLease.isNewer(status)
+}
+
 // applyHeader applies the fields of a status that describe the machine and the agent
 // rather than tasks.
 func (m *Machine) applyHeader(status *protocol.Heartbeat, now time.Time) {
--- a/internal/fake/agent.go
+++ b/internal/fake/agent.go
@@ -43,11 +43,21 @@
 	leaseRenewed     time.Time // when the last answered heartbeat was sent
 }
 
+// machineBoot counts the boots of a machine. What was sent before a boot is handled differently
+// after it.
+type machineBoot struct {
+	boots    int
+	bootedAt time.Time
+	// answered is set once a heartbeat sent after the boot has been answered.
+	answered bool
+}
+
 // machineAgent simulates one machine with its agent. It sends heartbeats to a controller,
 // carries out commands from the replies and from direct calls, and advances its tasks.
 type machineAgent struct {
 	machineIdentity
 	agentIncarnation
+	machineBoot
 	machineFaults
 
 	env           *Environment
@@ -57,6 +67,7 @@
 	imageCache    map[string]bool
 	statusChanged bool // since the last heartbeat, so the next one is due early
 	nodeIndex     int  // index of the node for the next heartbeat, modulo the number of nodes
+	lastHeartbeat protocol.Heartbeat
 }
 
 // newMachine adds a machine that is up after its type's boot time, and returns its ID. The
@@ -89,7 +100,7 @@
 		m.env.mu.Unlock()
 		return
 	}
-	m.up, m.incarnation, m.incarnationStart = true, 1, time.Now()
+	m.up, m.incarnation, m.incarnationStart, m.bootedAt = true, 1, time.Now(), time.Now()
 	m.env.mu.Unlock()
 	m.env.Network.Listen(m.id, m.addr, http.HandlerFunc(m.serveCommands))
 	go m.sendHeartbeats()
--- a/internal/fake/agent_commands.go
+++ b/internal/fake/agent_commands.go
@@ -13,13 +13,16 @@
 
 // serveCommands answers a controller's direct commands and status queries. A hung machine
 // answers once it no longer hangs. Commands with an old fencing token or for another incarnation
-// are refused, so that a deposed leader can neither start nor stop tasks.
+// are refused, so that a deposed leader can neither start nor stop tasks. A request that was sent
+// before a reboot gets no answer until a heartbeat of the rebooted agent has been answered: until
+// then nothing could make the agent refuse an old start, and the service takes such starts not to
+// come (docs/questions.md, 10).
 func (m *machineAgent) serveCommands(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	m.env.mu.Lock()
 	defer m.env.mu.Unlock()
 	m.awaitNotHung()
-	if m.removed {
+	if m.removed || (!m.answered && sentAt(r).Before(m.bootedAt)) {
 		writeReply(w, http.StatusBadGateway, nil)
 		return
 	}
@@ -39,7 +42,12 @@
 	m.setToken(request.Token)
 	m.executeCommands(request.Commands)
 	if m.nextCommandHang > 0 && len(request.Commands) > 0 {
+		boots := m.boots
 		m.hangBeforeAnswer()
+		if m.boots != boots {
+			writeReply(w, http.StatusBadGateway, nil)
+			return
+		}
 	}
 	writeReply(w, http.StatusOK, m.heartbeat())
 }
--- a/internal/fake/agent_faults.go
+++ b/internal/fake/agent_faults.go
@@ -1,7 +1,10 @@
 package fake
 
 import (
+	"net/http"
 	"time"
+
+	"marblehaven/internal/httpclient"
 )
 
 // machineFaults holds the faults that a test injects into a machine.
@@ -45,22 +48,48 @@
 
 // Reboot ends a machine's tasks and makes its agent lose its image cache, counters and
 // fencing token. The machine hangs for the downtime and is then in its first incarnation.
+// Answers to what was sent before the reboot are lost. A machine that is gone does not reboot.
 func (e *Environment) Reboot(id string, downtime time.Duration) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	machine := e.machines[id]
+	if machine == nil {
+		return
+	}
 	machine.tasks, machine.imageCache, machine.hung = nil, map[string]bool{}, true
-	machine.incarnation, machine.sequence, machine.token = 1, 0, 0
+	machine.resetAgent()
 	e.updateGangs()
-	e.mu.Unlock()
 	go func() {
 		time.Sleep(downtime)
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		machine.incarnation, machine.sequence, machine.token, machine.incarnationStart, machine.leaseRenewed = 1, 0, 0, time.Now(), time.Time{}
+		machine.resetAgent()
 		machine.hung, machine.statusChanged = false, true
 	}()
 }
 
+// resetAgent gives the agent the state that it has after a boot.
+func (m *machineAgent) resetAgent() {
+	now := time.Now()
+	m.agentIncarnation = agentIncarnation{incarnation: 1, incarnationStart: now}
+	m.machineBoot = machineBoot{boots: m.boots + 1, bootedAt: now}
+}
+
+// CopyLastHeartbeat returns a function that delivers a copy of the machine's latest heartbeat to
+// every controller, as a network does that repeats messages.
+func (e *Environment) CopyLastHeartbeat(id string) (deliver func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	machine := e.machines[id]
+	heartbeat := machine.lastHeartbeat
+	return func() {
+		client := httpclient.Client{HTTP: &http.Client{Transport: e.Network.From(e.ctx, id)}}
+		for _, addr := range e.NodeAddrs() {
+			machine.postHeartbeat(client, addr, heartbeat)
+		}
+	}
+}
+
 // Hang stops a machine from advancing its tasks, sending and answering, until the returned
 // function is called. The agent's lease can expire in that time.
 func (e *Environment) Hang(id string) func() {
--- a/internal/fake/agent_heartbeat.go
+++ b/internal/fake/agent_heartbeat.go
@@ -44,14 +44,15 @@
 			continue
 		}
 		m.statusChanged = false
-		heartbeat := m.heartbeat()
+		heartbeat, boots := m.heartbeat(), m.boots
+		m.lastHeartbeat = heartbeat
 		addr := m.env.nodeAddrs[m.nodeIndex%len(m.env.nodeAddrs)]
 		m.env.mu.Unlock()
 		lastSent = time.Now()
 		answer := m.postHeartbeat(client, addr, heartbeat)
 		m.env.mu.Lock()
 		m.awaitNotHung() // a hung machine handles the answer once it no longer hangs
-		if answer.accepted && time.Since(lastSent) <= heartbeatTimeout {
+		if answer.accepted && time.Since(lastSent) <= heartbeatTimeout && m.boots == boots {
 			m.applyReply(&answer.reply, heartbeat.Incarnation, lastSent)
 			m.env.mu.Unlock()
 			continue
@@ -113,7 +114,7 @@
 	if reply.Token < m.token || incarnation != m.incarnation || m.removed {
 		return
 	}
-	m.leaseRenewed = sent
+	m.leaseRenewed, m.answered = sent, true
 	m.setToken(reply.Token)
 	m.executeCommands(reply.Commands)
 }
--- a/internal/fake/network_transport.go
+++ b/internal/fake/network_transport.go
@@ -16,6 +16,15 @@
 	return transport{n, hostCtx, host}
 }
 
+// sentAtHeader holds the time at which a request was sent, also in a late copy.
+const sentAtHeader = "X-Sent-At"
+
+// sentAt returns when a delivered request was sent.
+func sentAt(delivered *http.Request) time.Time {
+	at, _ := time.Parse(time.RFC3339Nano, delivered.Header.Get(sentAtHeader))
+	return at
+}
+
 // transport sends the HTTP requests of one host over the network.
 type transport struct {
 	network *Network
@@ -35,6 +44,8 @@
 	if t.hostCtx.Err() != nil {
 		return nil, t.hostCtx.Err()
 	}
+	req = req.Clone(req.Context())
+	req.Header.Set(sentAtHeader, time.Now().Format(time.RFC3339Nano))
 	var body []byte
 	if req.Body != nil {
 		body, _ = io.ReadAll(req.Body)
@@ -120,6 +131,7 @@
 func (n *Network) serve(handler http.Handler, request *http.Request, body []byte, from string) *httptest.ResponseRecorder {
 	delivered := httptest.NewRequest(request.Method, request.URL.String(), bytes.NewReader(body))
 	delivered.RemoteAddr = from
+	delivered.Header.Set(sentAtHeader, request.Header.Get(sentAtHeader))
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, delivered)
 	return recorder
--- a/internal/server/machine_failures_test.go
+++ b/internal/server/machine_failures_test.go
@@ -238,3 +238,39 @@
 		c.untilDone(3*time.Minute, "req-000002")
 	})
 }
+
+// TestLateCopyFromBeforeReboot checks that a copy of a heartbeat from before a machine's reboot
+// ends no task that was started after it, whichever incarnation the agent was in before. The
+// copy lists no tasks and has a higher number than all heartbeats since the reboot.
+func TestLateCopyFromBeforeReboot(t *testing.T) {
+	t.Parallel()
+	for name, lostLease := range map[string]bool{"first incarnation": false, "second incarnation": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 138, func(c *testCluster) { copyHeartbeatAfterReboot(c, lostLease) })
+		})
+	}
+}
+
+// copyHeartbeatAfterReboot reboots a machine, after it has lost its lease if lostLease is set,
+// and delivers a copy of a heartbeat from before the reboot once tasks run on the machine again.
+func copyHeartbeatAfterReboot(c *testCluster, lostLease bool) {
+	c.submit(arrayJob(1, "check", 8), 20)
+	c.untilDone(2*time.Minute, "req-000001")
+	machine := c.env.Machines()[0]
+	if lostLease {
+		c.blockOutbound(machine)
+		time.Sleep(testLease + 4*time.Second)
+		c.heal()
+	}
+	time.Sleep(15 * time.Second) // the number of the agent's heartbeats becomes high
+	deliverCopy := c.env.CopyLastHeartbeat(machine)
+	c.env.Reboot(machine, 300*time.Millisecond)
+	time.Sleep(5 * time.Second)
+	c.submit(arrayJob(2, "check", 12), 20)
+	c.until("a task runs on the machine that rebooted", 10*time.Second, func() bool {
+		return slices.Contains(c.env.MachinesOf("req-000002"), machine)
+	})
+	time.Sleep(3 * time.Second)
+	deliverCopy()
+	c.untilDone(2*time.Minute, "req-000002")
+}
