Detect restarts by what the records and the answers to commands say

Cause: a new leader did not compare the first statuses of an agent with the incarnation that the records name. A lower one counted as the newest, after which nothing ended the placement: it was of another incarnation than the statuses, and each answered heartbeat moved the end of its lease. The same cause on related paths: restarts were not detected from answers to commands, whose refusals the leader followed with thousands of commands a second to the recorded incarnation; an incarnation that had expired by the records hid the restarted agent; and heartbeats older than an answer to a command were answered without end and never applied.

Change: a status is newer only if it is newer than all that were applied, is not below the recorded incarnation and has not expired. Any other status, from a heartbeat or from the answer to a command, leads to a token that was never sent before, and an agent that shows it in such a status has restarted. Commands without starts go to the incarnation that the agent last named, and a handshake is repeated at once only if the refusal named another one. A restart is logged. TestChaos reboots machines, alone and together with the leader; the checker of the fakes reports floods of commands.

--- a/internal/cluster/agent_lease.go
+++ b/internal/cluster/agent_lease.go
@@ -6,6 +6,9 @@
 	"marblehaven/internal/protocol"
 )
 
+// firstIncarnation is the incarnation of an agent that has started or restarted.
+const firstIncarnation protocol.Incarnation = 1
+
 // AgentLease tracks the incarnations of an agent. An incarnation lasts as long as replies
 // to heartbeats renew the agent's lease. When the lease expires, the agent ends all its
 // tasks and starts the next incarnation.
@@ -24,12 +27,18 @@
 	// ExpiredIncarnation is the highest incarnation that has provably ended. A status of
 	// that incarnation or of an earlier one is out of date and is not applied.
 	ExpiredIncarnation protocol.Incarnation
+	// inheritedIncarnation is the highest incarnation of the placements that earlier
+	// leaders have recorded. A status of a lower one is not applied.
+	inheritedIncarnation protocol.Incarnation
+	// answeredIncarnation is the one that the newest answer to a direct command named, if
+	// the status in that answer was not applied and none has been since; otherwise 0.
+	answeredIncarnation protocol.Incarnation
 }
 
-// isNewer reports whether a status is newer than the applied ones and belongs to an
-// incarnation that has not provably ended.
+// isNewer reports whether a status is newer than the applied ones and those that earlier
+// leaders have applied, and belongs to an incarnation that has not provably ended.
 func (l *AgentLease) isNewer(status *protocol.Heartbeat) bool {
-	if status.Incarnation <= l.ExpiredIncarnation {
+	if status.Incarnation <= l.ExpiredIncarnation || status.Incarnation < l.inheritedIncarnation {
 		return false
 	}
 	return status.Incarnation > l.Incarnation || (status.Incarnation == l.Incarnation && status.Sequence > l.Sequence)
@@ -38,6 +47,7 @@
 // advanceTo records the incarnation and the sequence number of an applied status.
 func (l *AgentLease) advanceTo(status *protocol.Heartbeat) {
 	l.Incarnation, l.Sequence = status.Incarnation, status.Sequence
+	l.answeredIncarnation = 0
 }
 
 // extendLease moves the expiry to a later time; an earlier one changes nothing.
@@ -61,7 +71,32 @@
 // resetIncarnations resets the incarnations and the sequence number for an agent that
 // has restarted and counts from the beginning again.
 func (l *AgentLease) resetIncarnations() {
-	l.Incarnation, l.Sequence, l.ExpiredIncarnation = 0, 0, 0
+	l.Incarnation, l.Sequence, l.ExpiredIncarnation, l.inheritedIncarnation = 0, 0, 0, 0
+}
+
+// RecordAnsweredIncarnation records the incarnation that the answer to a direct command
+// names, once the status in the answer was offered to ApplyStatus.
+func (l *AgentLease) RecordAnsweredIncarnation(incarnation protocol.Incarnation) {
+	if incarnation != l.Incarnation {
+		l.answeredIncarnation = incarnation
+	}
+}
+
+// CommandIncarnation returns the incarnation to which a command without starts is addressed.
+// An agent that names a lower incarnation than the known ones has possibly restarted. It
+// takes the token of a command, and so proves the restart, only in the incarnation that it
+// names.
+func (l *AgentLease) CommandIncarnation() protocol.Incarnation {
+	if l.answeredIncarnation > 0 {
+		return l.answeredIncarnation
+	}
+	return l.LatestIncarnation()
+}
+
+// LatestIncarnation returns the highest incarnation that is known of the agent, from its
+// statuses or from the placements that earlier leaders have recorded.
+func (l *AgentLease) LatestIncarnation() protocol.Incarnation {
+	return max(l.Incarnation, l.inheritedIncarnation, firstIncarnation)
 }
 
 // ExpireLease returns every placement on the machine as ended once the agent's lease has
@@ -76,5 +111,7 @@
 		m.markExpired(placement.Incarnation)
 	}
 	m.markExpired(m.Incarnation)
+	// A heartbeat of the expired incarnation that carries the probe token may still arrive.
+	m.probeToken = 0
 	return ended
 }
--- a/internal/cluster/heartbeat_order.go
+++ b/internal/cluster/heartbeat_order.go
@@ -3,8 +3,7 @@
 import "marblehaven/internal/protocol"
 
 // heartbeatOrder distinguishes the newest heartbeat of an agent from late copies of
-// earlier ones, and both from the heartbeats of an agent that has restarted and counts
-// from the beginning again.
+// earlier ones.
 //
 // An agent sends its heartbeats one after another, so a heartbeat that is not newer than
 // the last accepted one is either a late copy or sent after a restart; there is no third
@@ -13,13 +12,6 @@
 type heartbeatOrder struct {
 	lastAccepted heartbeatID           // of the newest accepted heartbeat
 	lastToken    protocol.FencingToken // in the newest accepted heartbeat
-	// probeToken is a token that no earlier message to the agent carried. The leader
-	// sends it in the reply to a heartbeat that is not newer than the accepted ones. 0
-	// means that no probe is outstanding.
-	probeToken protocol.FencingToken
-	// restarted is true from the proof that the agent has restarted until the first
-	// status after the restart is applied.
-	restarted bool
 }
 
 // heartbeatID orders the heartbeats that an agent sends between two restarts.
@@ -40,34 +32,21 @@
 // it. An agent that has not restarted never sends a lower token than before, so a heartbeat
 // with a lower token is from before or after a restart, however high its number is.
 func (o *heartbeatOrder) accept(heartbeat *protocol.Heartbeat) bool {
-	id := heartbeatIDOf(heartbeat)
-	if !o.lastAccepted.before(id) || heartbeat.Token < o.lastToken {
+	if !o.lastAccepted.before(heartbeatIDOf(heartbeat)) || heartbeat.Token < o.lastToken {
 		return false
 	}
-	o.lastAccepted, o.lastToken = id, heartbeat.Token
-	o.withdrawProbe(heartbeat.Token)
+	o.beginWith(heartbeat)
 	return true
 }
 
-// withdrawProbe discards the probe when a status in the known order carries its token.
-// The token then no longer proves a restart: an agent that has not restarted has received
-// it, so late copies of that agent's heartbeats carry it too.
-func (o *heartbeatOrder) withdrawProbe(token protocol.FencingToken) {
-	if token >= o.probeToken {
-		o.probeToken = 0
-	}
-}
-
-// recordRestart makes the heartbeat of a restarted agent the first of a new order.
-func (o *heartbeatOrder) recordRestart(heartbeat *protocol.Heartbeat) {
+// beginWith makes a heartbeat the newest one, whatever was accepted before.
+func (o *heartbeatOrder) beginWith(heartbeat *protocol.Heartbeat) {
 	o.lastAccepted, o.lastToken = heartbeatIDOf(heartbeat), heartbeat.Token
-	o.probeToken = 0
-	o.restarted = true
 }
 
 // AcceptHeartbeat reports whether a heartbeat is newer than all accepted ones. A
 // heartbeat that is not newer must not be applied, must not renew the lease and does not
-// count as contact; the caller passes it to DetectRestart.
+// count as contact, unless DetectRestart shows that the agent has restarted.
 func (m *Machine) AcceptHeartbeat(heartbeat *protocol.Heartbeat) bool {
 	if !m.heartbeatOrder.accept(heartbeat) {
 		return false
@@ -75,24 +54,3 @@
 	m.observeHeartbeat(heartbeat.Token)
 	return true
 }
-
-// DetectRestart takes a heartbeat that AcceptHeartbeat has refused, and reports whether
-// it proves that the agent has restarted. The first such heartbeat proves nothing, but
-// the reply to it carries a probe token. A late copy was sent before the probe token was
-// issued. Only a running agent that counts from the beginning again can send the probe
-// token in a heartbeat that is not newer than the accepted ones.
-//
-// A proved restart resets the incarnation and the sequence number, and the next applied
-// status ends the placements from before the restart.
-func (m *Machine) DetectRestart(heartbeat *protocol.Heartbeat) bool {
-	if m.probeToken == 0 {
-		m.probeToken = m.issueNextToken()
-		return false
-	}
-	if heartbeat.Token < m.probeToken {
-		return false
-	}
-	m.recordRestart(heartbeat)
-	m.resetIncarnations()
-	return true
-}
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -39,6 +39,7 @@
 	Outbox []*Placement
 
 	heartbeatOrder
+	restartDetector
 	Fencing
 	AgentLease
 	FailureDetector
@@ -65,6 +66,14 @@
 	}
 }
 
+// InheritPlacement adds a placement that an earlier leader has recorded. That leader had
+// applied a status of the placement's incarnation. A status of a lower incarnation is
+// therefore a late copy, or the agent has restarted since.
+func (m *Machine) InheritPlacement(placement *Placement) {
+	m.Placements[placement.TaskKey] = placement
+	m.inheritedIncarnation = max(m.inheritedIncarnation, placement.Incarnation)
+}
+
 // CommandsResolved reports whether the outcome of every command sent to the agent is
 // known: none is in flight, and the agent refuses those that were never answered and
 // those of earlier leaders.
--- a/internal/fake/agent.go
+++ b/internal/fake/agent.go
@@ -59,6 +59,7 @@
 	agentIncarnation
 	machineBoot
 	machineFaults
+	commandRate commandRate
 
 	env           *Environment
 	up            bool
--- a/internal/fake/agent_commands.go
+++ b/internal/fake/agent_commands.go
@@ -21,6 +21,7 @@
 	body, _ := io.ReadAll(r.Body)
 	m.env.mu.Lock()
 	defer m.env.mu.Unlock()
+	m.env.checkCommandRate(m, sentAt(r))
 	m.awaitNotHung()
 	if m.removed || (!m.answered && sentAt(r).Before(m.bootedAt)) {
 		writeReply(w, http.StatusBadGateway, nil)
--- a/internal/fake/agent_faults.go
+++ b/internal/fake/agent_faults.go
@@ -2,9 +2,10 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"time"
 
-	"marblehaven/internal/httpclient"
+	"marblehaven/internal/codec"
 )
 
 // machineFaults holds the faults that a test injects into a machine.
@@ -76,16 +77,17 @@
 }
 
 // CopyLastHeartbeat returns a function that delivers a copy of the machine's latest heartbeat to
-// every controller, as a network does that repeats messages.
+// every controller, as a network does that repeats messages. Cuts do not hold the copy.
 func (e *Environment) CopyLastHeartbeat(id string) (deliver func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	machine := e.machines[id]
 	heartbeat := machine.lastHeartbeat
+	body, _ := codec.Marshal(heartbeat)
 	return func() {
-		client := httpclient.Client{HTTP: &http.Client{Transport: e.Network.From(e.ctx, id)}}
 		for _, addr := range e.NodeAddrs() {
-			machine.postHeartbeat(client, addr, heartbeat)
+			request := httptest.NewRequest(http.MethodPost, "http://"+addr+heartbeatPath, nil)
+			e.Network.deliverCopy(request, body, id)
 		}
 	}
 }
--- a/internal/fake/agent_heartbeat.go
+++ b/internal/fake/agent_heartbeat.go
@@ -65,6 +65,7 @@
 }
 
 const (
+	heartbeatPath = "/hello"
 	// heartbeatTimeout is how long an agent waits for the answer to a heartbeat.
 	heartbeatTimeout = 4 * time.Second
 	// minHeartbeatInterval is the least time from a heartbeat to an early one after a change of status.
@@ -103,7 +104,7 @@
 	defer cancel()
 	var reply protocol.HeartbeatReply
 	var redirect protocol.Redirect
-	err := client.Do(ctx, httpclient.Request{Method: http.MethodPost, URL: "http://" + addr + "/hello", Body: heartbeat,
+	err := client.Do(ctx, httpclient.Request{Method: http.MethodPost, URL: "http://" + addr + heartbeatPath, Body: heartbeat,
 		Responses: map[int]any{http.StatusOK: &reply, http.StatusMisdirectedRequest: &redirect}})
 	return heartbeatAnswer{err == nil, reply, redirect}
 }
--- a/internal/fake/network_transport.go
+++ b/internal/fake/network_transport.go
@@ -119,11 +119,17 @@
 // deliverDuplicate delivers a request a second time, to the handler that listens at that time.
 func (t transport) deliverDuplicate(req *http.Request, body []byte, maxDelay time.Duration) {
 	time.Sleep(time.Duration(t.network.randomFloat() * float64(maxDelay)))
-	t.network.mu.Lock()
-	handler := t.network.handlers[req.URL.Host] // another process may have started to listen
-	t.network.mu.Unlock()
+	t.network.deliverCopy(req, body, t.host)
+}
+
+// deliverCopy delivers a copy of a request at once, to the handler that listens now. Nobody
+// receives the answer.
+func (n *Network) deliverCopy(req *http.Request, body []byte, from string) {
+	n.mu.Lock()
+	handler := n.handlers[req.URL.Host] // another process may have started to listen
+	n.mu.Unlock()
 	if handler != nil {
-		t.network.serve(handler, req, body, t.host)
+		n.serve(handler, req, body, from)
 	}
 }
 
--- a/internal/leader/dispatch.go
+++ b/internal/leader/dispatch.go
@@ -28,6 +28,7 @@
 // answer may still be executed, even minutes later.
 type commandResult struct {
 	machine     *cluster.Machine
+	incarnation protocol.Incarnation // that the request was addressed to
 	status      *protocol.Heartbeat
 	hasStarts   bool // the commands included starts
 	isHandshake bool
@@ -107,7 +108,7 @@
 	address := machine.Addr
 	go func() {
 		status, err := l.Agents.SendCommands(l.ctx, address, request)
-		l.post(commandResult{machine, status, hasStarts, isHandshake, err})
+		l.post(commandResult{machine, incarnation, status, hasStarts, isHandshake, err})
 	}()
 }
 
@@ -132,8 +133,10 @@
 	if result.status.Machine != machine.ID {
 		return
 	}
+	l.detectRestart(machine, result.status)
 	l.applyStatus(machine, result.status, now)
-	if machine.AcknowledgedToken < l.termToken() {
+	machine.RecordAnsweredIncarnation(result.status.Incarnation)
+	if machine.AcknowledgedToken < l.termToken() && result.status.Incarnation != result.incarnation {
 		// The agent has not accepted the term's token, because the request carried a wrong
 		// incarnation. The answer names the right one, so a handshake is made at once.
 		machine.NextHandshake = now
@@ -215,15 +218,5 @@
 	}
 	machine.NextHandshake = now.Add(tuning.HandshakeInterval)
 	l.dispatcher.handshakesInFlight++
-	l.sendCommands(machine, nil, lastIncarnation(machine), false, true)
-}
-
-// lastIncarnation is the latest known incarnation of a machine's agent, from the agent's
-// status or from the run records.
-func lastIncarnation(machine *cluster.Machine) protocol.Incarnation {
-	incarnation := max(machine.Incarnation, 1)
-	for _, placement := range machine.Placements {
-		incarnation = max(incarnation, placement.Incarnation)
-	}
-	return incarnation
+	l.sendCommands(machine, nil, machine.CommandIncarnation(), false, true)
 }
--- a/internal/leader/failure_detection.go
+++ b/internal/leader/failure_detection.go
@@ -122,7 +122,7 @@
 	case machine.Addr == "": // no heartbeat or machine list has given an address to send commands to
 		found.unreachable[machine] = silentPastLimit && l.provisioner.listed
 	case !machine.CommandInFlight:
-		l.sendCommands(machine, nil, lastIncarnation(machine), false, false)
+		l.sendCommands(machine, nil, machine.CommandIncarnation(), false, false)
 	}
 }
 
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -56,7 +56,8 @@
 		return &protocol.HeartbeatReply{Token: l.termToken(), Commands: []protocol.Command{}}
 	}
 	machine := l.ensureMachine(heartbeat.Machine, now)
-	if !machine.AcceptHeartbeat(heartbeat) && !machine.DetectRestart(heartbeat) {
+	isNewest, hasRestarted := machine.AcceptHeartbeat(heartbeat), l.detectRestart(machine, heartbeat)
+	if !isNewest && !hasRestarted {
 		// The heartbeat is a late copy, or the agent has restarted. A copy is out of
 		// date, and nobody receives the reply to it, so the reply renews no lease. A
 		// restarted agent proves the restart with the token of this reply in its next
@@ -74,6 +75,19 @@
 	return &protocol.HeartbeatReply{Token: machine.IssuedToken, Commands: l.reconcileCommands(machine)}
 }
 
+// detectRestart reports whether an agent's status proves that the agent has restarted. The
+// images that an earlier leader has recorded for the machine may be gone then.
+func (l *Leader) detectRestart(machine *cluster.Machine, status *protocol.Heartbeat) bool {
+	before := machine.LatestIncarnation()
+	if !machine.DetectRestart(status) {
+		return false
+	}
+	delete(l.images.inherited, machine.ID)
+	l.Log.Info("agent has restarted, its tasks from before have ended", "machine", machine.ID,
+		"incarnation", status.Incarnation, "before", before, "tasks", len(machine.Placements))
+	return true
+}
+
 // applyStatus applies an agent's status, from a heartbeat or from the answer to a direct
 // command, and acts on what has changed.
 func (l *Leader) applyStatus(machine *cluster.Machine, status *protocol.Heartbeat, now time.Time) {
--- a/internal/leader/recovery.go
+++ b/internal/leader/recovery.go
@@ -171,5 +171,5 @@
 		Since:       now,
 	}
 	job.placements[stored.Task] = placement
-	machine.Placements[placement.TaskKey] = placement
+	machine.InheritPlacement(placement)
 }
--- a/internal/server/chaos_failures_test.go
+++ b/internal/server/chaos_failures_test.go
@@ -50,6 +50,29 @@
 	}
 }
 
+// rebootMachine reboots a machine, which is back within 3 s. Copies of its heartbeats from before
+// the reboot arrive later.
+func (r *chaosRun) rebootMachine(target chaosTarget) {
+	downtime := time.Duration(r.rng.IntN(3000)) * time.Millisecond
+	if target.machine != "" {
+		r.env.Reboot(target.machine, downtime)
+	}
+}
+
+// rebootMachineAndKillLeader kills the leader at the moment at which a machine reboots, and starts
+// it again 1 to 5 s later. One machine in two cannot open connections meanwhile.
+func (r *chaosRun) rebootMachineAndKillLeader(target chaosTarget) {
+	r.rebootMachine(target)
+	cannotConnect, pause := r.rng.IntN(2) == 0, r.seconds(1, 6)
+	if cannotConnect && target.machine != "" {
+		r.runAfter(pause, r.network.BlockOutbound(target.machine))
+	}
+	if old := r.killLeader(); old != "" {
+		r.runAfter(pause, func() { r.boot(old) })
+		time.Sleep(6 * time.Second)
+	}
+}
+
 // partitionControllerFromMachine cuts the link between one controller and one machine.
 func (r *chaosRun) partitionControllerFromMachine(target chaosTarget) {
 	if target.machine != "" {
--- a/internal/server/chaos_test.go
+++ b/internal/server/chaos_test.go
@@ -83,6 +83,8 @@
 	19: (*chaosRun).submitInvalidJobs,
 	20: (*chaosRun).failCommits,
 	21: (*chaosRun).failCommits,
+	22: (*chaosRun).rebootMachine,
+	23: (*chaosRun).rebootMachineAndKillLeader,
 }
 
 // chaos submits and cancels jobs of all kinds while controllers crash, links are cut,
