End inherited placements by a higher incarnation only with the term's token

When the first heartbeat that a new leader gets from a machine is a copy from before the machine's restart, tasks that run are taken for ended: no record names them, and they are started on other machines.

Cause: a higher incarnation ended the placements of lower ones at once. A new leader has nothing to compare its first status with but the records, which name the lower incarnation after a restart. Such a copy also hides the agent's own heartbeats, whose replies renew a lease that the leader did not count.

Change: placements of an earlier leader end with a higher incarnation once the agent has acknowledged a token above that of the start, before that with the lease of their own incarnation. Replies to heartbeats that are not applied count for the lease until a token of the term is acknowledged.

--- a/internal/cluster/agent_lease.go
+++ b/internal/cluster/agent_lease.go
@@ -99,12 +99,38 @@
 	return max(l.Incarnation, l.inheritedIncarnation, firstIncarnation)
 }
 
-// ExpireLease returns every placement on the machine as ended once the agent's lease has
-// provably expired, and marks their incarnations as expired. Before that time ExpireLease
-// returns nil and changes nothing.
+// keepLeaseExpiry keeps the end of the lease for the placements of other incarnations than
+// that of the newest status. Replies to heartbeats of that incarnation do not renew it.
+func (m *Machine) keepLeaseExpiry() {
+	for _, placement := range m.Placements {
+		if placement.Incarnation != m.Incarnation && placement.leaseExpiry.IsZero() {
+			placement.leaseExpiry = m.LeaseExpiry
+		}
+	}
+}
+
+// RecordUnappliedReply records that a reply was sent to a heartbeat that was not applied,
+// and that it may renew the agent's lease until leaseEnd. A late copy that was applied
+// before can hide that the heartbeat is the newest, until the agent has acknowledged a token
+// of this term.
+func (m *Machine) RecordUnappliedReply(incarnation protocol.Incarnation, leaseEnd time.Time) {
+	if m.AcknowledgedToken >= m.firstTokenOfTerm() {
+		return
+	}
+	m.extendLease(leaseEnd)
+	for _, placement := range m.Placements {
+		if placement.Incarnation == incarnation && !placement.leaseExpiry.IsZero() && leaseEnd.After(placement.leaseExpiry) {
+			placement.leaseExpiry = leaseEnd
+		}
+	}
+}
+
+// ExpireLease returns the placements as ended whose agent's lease has provably expired, and
+// marks the incarnations as expired. Before that time ExpireLease returns nil and changes
+// nothing.
 func (m *Machine) ExpireLease(now time.Time) (ended []EndedPlacement) {
 	if !now.After(m.LeaseExpiry) {
-		return nil
+		return m.expireOtherIncarnations(now)
 	}
 	for _, placement := range m.Placements {
 		ended = append(ended, EndedPlacement{Placement: placement})
@@ -115,3 +141,14 @@
 	m.probeToken = 0
 	return ended
 }
+
+// expireOtherIncarnations returns the placements as ended whose incarnation is not that of
+// the newest status and whose lease has provably expired.
+func (m *Machine) expireOtherIncarnations(now time.Time) (ended []EndedPlacement) {
+	for _, placement := range m.Placements {
+		if placement.Incarnation != m.Incarnation && !placement.leaseExpiry.IsZero() && now.After(placement.leaseExpiry) {
+			ended = append(ended, EndedPlacement{Placement: placement})
+		}
+	}
+	return ended
+}
--- a/internal/cluster/agent_lease_test.go
+++ b/internal/cluster/agent_lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"marblehaven/internal/protocol"
 )
 
 // The lease of an incarnation counts from the start of the incarnation, not from the last
@@ -82,3 +84,54 @@
 		t.Error("a status of the expired incarnation was applied")
 	}
 }
+
+// The first status that a new leader receives can be a late copy from before a restart, in a
+// higher incarnation than the records name. Only a token of the leader's term shows that it is
+// not. Until then the placement ends with the lease of its own incarnation: replies to
+// heartbeats of the higher one do not renew that.
+func TestHigherIncarnationEndsInheritedPlacementAfterFirstTokenOfTerm(t *testing.T) {
+	for _, acknowledged := range []bool{true, false} {
+		machine, placement, now := machineWithInheritedPlacement(1)
+		leaseEnd := machine.LeaseExpiry
+		for sequence := uint64(33); sequence < 36; sequence++ {
+			status := newHeartbeat(2, sequence, firstToken-1)
+			if ended, fresh := machine.ApplyStatus(status, parseTask, now, leaseEnd.Add(time.Minute)); !fresh || len(ended) > 0 {
+				t.Fatalf("a status that may be a late copy ended %v", ended)
+			}
+		}
+		var ended []EndedPlacement
+		if acknowledged {
+			ended, _ = machine.ApplyStatus(newHeartbeat(2, 36, firstToken), parseTask, now, leaseEnd.Add(time.Minute))
+		} else {
+			if ended := machine.ExpireLease(leaseEnd); len(ended) > 0 {
+				t.Error("the placement ended before the lease of its incarnation expired")
+			}
+			ended = machine.ExpireLease(leaseEnd.Add(time.Millisecond))
+		}
+		if len(ended) != 1 || ended[0].Placement != placement {
+			t.Errorf("token of the term acknowledged %v: ended %v instead of the placement", acknowledged, ended)
+		}
+	}
+}
+
+// A late copy that was applied hides the agent's newest heartbeats, but the replies to them renew
+// the agent's lease.
+func TestReplyToHiddenHeartbeatExtendsLease(t *testing.T) {
+	for _, copiedIncarnation := range []protocol.Incarnation{1, 2} {
+		machine, _, now := machineWithInheritedPlacement(1)
+		copied := newHeartbeat(copiedIncarnation, 88, firstToken-2)
+		machine.AcceptHeartbeat(copied)
+		machine.ApplyStatus(copied, parseTask, now, machine.LeaseExpiry)
+		if machine.AcceptHeartbeat(newHeartbeat(1, 21, firstToken-1)) {
+			t.Fatal("a heartbeat was accepted although a copy with a higher number was")
+		}
+		renewedUntil := machine.LeaseExpiry.Add(5 * time.Second)
+		machine.RecordUnappliedReply(1, renewedUntil)
+		if ended := machine.ExpireLease(renewedUntil); len(ended) > 0 {
+			t.Errorf("a copy of incarnation %d: the placement ended before the renewed lease expired", copiedIncarnation)
+		}
+		if ended := machine.ExpireLease(renewedUntil.Add(time.Millisecond)); len(ended) != 1 {
+			t.Errorf("a copy of incarnation %d: the placement did not end after the renewed lease expired", copiedIncarnation)
+		}
+	}
+}
--- a/internal/cluster/placement.go
+++ b/internal/cluster/placement.go
@@ -36,6 +36,9 @@
 	Stopping      bool      // a stop was ordered
 	GracePeriodS  float64   // the grace period of the stop, in seconds
 	StopOrderedAt time.Time // when the stop was ordered; decides whether a direct command is due
+	// leaseExpiry is the time by which all tasks of the placement's incarnation have ended,
+	// once the machine's lease is that of another incarnation. Zero before.
+	leaseExpiry time.Time
 }
 
 // EndedPlacement is a placement that has provably ended. ExitReason is what the agent
@@ -56,20 +59,6 @@
 	return task.Parsed && placement != nil && placement.Attempt == task.Attempt && placement.Incarnation == incarnation
 }
 
-// endedByIncarnation returns the placements that the start of an incarnation proves to
-// have ended: those of earlier incarnations and, if the agent has restarted and counts
-// from the beginning again, those of higher ones too. Placements with the same
-// incarnation number are compared with the listed tasks, as for any other status of the
-// incarnation.
-func (t PlacementTable) endedByIncarnation(incarnation protocol.Incarnation, restarted bool) (ended []EndedPlacement) {
-	for _, placement := range t {
-		if placement.Incarnation < incarnation || (restarted && placement.Incarnation > incarnation) {
-			ended = append(ended, EndedPlacement{Placement: placement})
-		}
-	}
-	return ended
-}
-
 // markSent records that the placement's start is about to be sent with a token.
 func (p *Placement) markSent(token protocol.FencingToken) {
 	p.Sent, p.StartToken = true, token
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -15,7 +15,8 @@
 // A placement ends on one of these proofs only:
 //
 //   - The agent lists the attempt as exited.
-//   - The agent is in a later incarnation, or has restarted.
+//   - The agent is in a later incarnation, or has restarted, and the status is not a copy
+//     from before the placement (see endedWithIncarnation).
 //   - The agent does not list the attempt, and refuses every start of it that could still
 //     arrive.
 //
@@ -33,10 +34,10 @@
 		return nil, true // the usual case; a large site sends hundreds of statuses a second
 	}
 	if newIncarnation {
-		ended = m.beginIncarnation(status.Incarnation, hadIncarnation, leaseEnd)
+		m.beginIncarnation(hadIncarnation, leaseEnd)
 	}
 	listed := m.setReportedTasks(status.Tasks, parse, m.isPlaced)
-	ended = append(ended, m.endedPlacements(listed, now)...)
+	ended = m.endedPlacements(listed, now)
 	m.pruneStartTokens(func(start attemptKey) bool { return m.Placements[start.TaskKey] != nil || m.lists(start) })
 	return ended, true
 }
@@ -61,15 +62,10 @@
 	}
 }
 
-// beginIncarnation returns the placements of earlier incarnations as ended. A later
-// incarnation proves that their tasks have ended, and that the agent refuses commands for
-// earlier incarnations. A restart proves the same for any incarnation number: the agent
-// has acknowledged the probe token, and commands sent before the restart carry lower
-// tokens.
+// beginIncarnation records that the newest status is the first one of an incarnation.
 //
 // hadIncarnation is true if a status of an earlier incarnation was applied.
-func (m *Machine) beginIncarnation(incarnation protocol.Incarnation, hadIncarnation bool, leaseEnd time.Time) (ended []EndedPlacement) {
-	ended = m.Placements.endedByIncarnation(incarnation, m.restarted)
+func (m *Machine) beginIncarnation(hadIncarnation bool, leaseEnd time.Time) {
 	// Cached images survive the end of a lease. After a restart the machine may have
 	// none.
 	if m.restarted {
@@ -83,24 +79,43 @@
 		m.requireIssuedToken()
 	}
 	m.restarted = false
+	m.keepLeaseExpiry()
 	// The lease of an incarnation counts from the start of the incarnation. If the expiry
 	// of the previous incarnation were kept, and the agent were reached by direct commands
 	// only, the new incarnation would count as ended, and its tasks would be started
 	// twice.
 	m.extendLease(leaseEnd)
-	return ended
 }
 
-// endedPlacements reconciles the placements of the current incarnation with the tasks
-// that the newest status lists, and returns the placements that have ended.
+// endedWithIncarnation reports whether the newest status, which is of another incarnation
+// than a placement, proves that the placement has ended. A later incarnation proves it, and
+// that the agent refuses commands for earlier ones. A restart proves the same for any
+// incarnation number.
+//
+// The first statuses that a new leader receives may be late copies from before a restart,
+// in a higher incarnation than the records name. Only a status that carries a higher token
+// than the start was sent with is surely from after it, and shows that the agent refuses
+// copies of the start. Placements of this term need no such token if the incarnation is
+// later: they were made once the agent had acknowledged a token that no status from before
+// its last restart carries.
+func (m *Machine) endedWithIncarnation(placement *Placement) bool {
+	if !placement.Sent || m.AcknowledgedToken > placement.StartToken {
+		return true
+	}
+	return placement.StartToken >= m.firstTokenOfTerm() && placement.Incarnation < m.Incarnation
+}
+
+// endedPlacements reconciles the placements with the tasks that the newest status lists,
+// and returns the placements that have ended.
 func (m *Machine) endedPlacements(listed map[TaskKey]*protocol.TaskStatus, now time.Time) (ended []EndedPlacement) {
 	m.statusMatches = true
 	for key, placement := range m.Placements {
-		if placement.Incarnation != m.Incarnation {
-			continue
-		}
 		status := listed[key]
 		switch {
+		case placement.Incarnation != m.Incarnation && m.endedWithIncarnation(placement):
+			ended = append(ended, EndedPlacement{Placement: placement})
+		case placement.Incarnation != m.Incarnation:
+			m.statusMatches = false
 		case status == nil && placement.Sent && m.refusesStart(placement.StartToken):
 			// The missing entry proves the end only because no start can arrive any more.
 			ended = append(ended, EndedPlacement{Placement: placement})
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -62,6 +62,7 @@
 		// date, and nobody receives the reply to it, so the reply renews no lease. A
 		// restarted agent proves the restart with the token of this reply in its next
 		// heartbeat.
+		machine.RecordUnappliedReply(heartbeat.Incarnation, l.agentLeaseExpiry(now))
 		return &protocol.HeartbeatReply{Token: machine.IssuedToken, Commands: []protocol.Command{}}
 	}
 	machine.LastHeartbeat = now
--- a/internal/server/machine_reboot_test.go
+++ b/internal/server/machine_reboot_test.go
@@ -148,3 +148,33 @@
 		})
 	}
 }
+
+// TestLateCopyFromBeforeRebootReachesNewLeader checks that a copy of a heartbeat from before a
+// machine's reboot ends no task when it is the first that a new leader receives from the machine.
+// The copy is from a later incarnation than the records name.
+func TestLateCopyFromBeforeRebootReachesNewLeader(t *testing.T) {
+	t.Parallel()
+	run(t, 146, func(c *testCluster) {
+		c.submit(arrayJob(1, "check", 16), 20)
+		c.untilDone(2*time.Minute, "req-000001")
+		machine := c.env.Machines()[0]
+		heal := c.network.BlockOutbound(machine)
+		time.Sleep(testLease + 4*time.Second)
+		heal()
+		time.Sleep(5 * time.Second)
+		deliverCopy := c.env.CopyLastHeartbeat(machine)
+		c.env.Reboot(machine, 300*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		c.fillMachines(2, 60)
+		c.until("a task runs on the machine", 10*time.Second, func() bool { return c.runsAnyOf(machine, "req-000002", "req-000003") })
+		time.Sleep(5 * time.Second)
+		healAll := c.isolate(machine, fake.Reset, c.names...)
+		c.boot(c.killLeader())
+		c.until("a controller leads", 10*time.Second, func() bool { return c.leader() != "" })
+		time.Sleep(time.Second)
+		deliverCopy()
+		time.Sleep(3 * time.Second)
+		healAll()
+		c.expectRecovery()
+	})
+}
