Play restarts of machines together with the leader, with late copies

Change: a case in which every second machine reboots as the leader is killed, twice, some after a lost lease, in contact, unable to connect or hearing nothing, while copies of heartbeats and commands come.

--- a/internal/server/compound_failures_test.go
+++ b/internal/server/compound_failures_test.go
@@ -34,6 +34,7 @@
 		{"transactions without an answer are carried out late", commitsExecutedLate},
 		{"copies of old heartbeats come from machines that died", repeatedHeartbeatsOfKilledMachines},
 		{"heartbeats are held until a new leader has acted", delayedHeartbeats},
+		{"machines restart together with the leader, copies of their heartbeats follow", machinesRebootWithLeader},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/server/compound_machine_cases_test.go
+++ b/internal/server/compound_machine_cases_test.go
@@ -76,6 +76,45 @@
 	c.until("the tasks of the killed machines run elsewhere", testLease+4*time.Second, func() bool { return len(c.env.MachinesOf("req-000001")) == 8 })
 }
 
+// machinesRebootWithLeader reboots every second machine as the leader is killed, twice, while the
+// network delivers copies of earlier heartbeats and commands. Some of the agents have lost a lease
+// before. By variant the rebooted machines are in contact, cannot open connections, or receive
+// nothing.
+func machinesRebootWithLeader(c *testCluster, variant uint64) {
+	c.network.SetDuplicates(map[string]time.Duration{"/hello": 40 * time.Second, "/do": 20 * time.Second})
+	c.startWorkload()
+	for i, machine := range c.env.Machines() {
+		if i%4 == 0 {
+			c.blockOutbound(machine)
+		}
+	}
+	time.Sleep(testLease + 4*time.Second)
+	c.heal()
+	time.Sleep(10 * time.Second)
+	for range 2 {
+		old := c.killLeader()
+		for i, machine := range c.env.Machines() {
+			if i%2 > 0 {
+				continue
+			}
+			c.env.Reboot(machine, time.Duration(i)*100*time.Millisecond)
+			switch variant {
+			case 1:
+				c.blockOutbound(machine)
+			case 2:
+				c.holdInbound(machine)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		if old != "" {
+			c.boot(old)
+		}
+		time.Sleep(testLease)
+		c.heal()
+		time.Sleep(8 * time.Second)
+	}
+}
+
 // delayedHeartbeats delays all messages of half of the machines, heartbeats included, until
 // a new leader has acted, and changes the leader three times.
 func delayedHeartbeats(c *testCluster, variant uint64) {
