--- a/internal/cluster/one_way_partition_test.go
+++ b/internal/cluster/one_way_partition_test.go
@@ -38,3 +38,23 @@
 		t.Error("schedulable before the new token was acknowledged")
 	}
 }
+
+// The heartbeats from before a restart say nothing of the restarted agent: it has just shown a
+// token that a reply has carried.
+func TestRestartEndsOneWayPartition(t *testing.T) {
+	machine, _, now := machineWithStart(t)
+	machine.RecordCommandOutcome(true, true)
+	for sequence := uint64(2); sequence < 10; sequence++ {
+		heartbeat := newHeartbeat(1, sequence, firstToken)
+		machine.AcceptHeartbeat(heartbeat)
+		machine.ApplyStatus(heartbeat, parseTask, now, now.Add(leaseDuration))
+		machine.RecordHeartbeatReply()
+	}
+	if !machine.OneWayPartitioned() {
+		t.Fatal("no one-way partition although no token was acknowledged")
+	}
+	expectRestart(t, machine, now, newHeartbeat(1, 1, 0), newHeartbeat(1, 2, 0))
+	if machine.OneWayPartitioned() {
+		t.Error("a restarted agent counts as partitioned because of heartbeats from before its restart")
+	}
+}
--- a/internal/cluster/restart_detection.go
+++ b/internal/cluster/restart_detection.go
@@ -48,6 +48,7 @@
 		return false
 	}
 	m.heartbeatOrder.beginWith(status)
+	m.oneWayPartition = oneWayPartition{heartbeatToken: status.Token}
 	m.probeToken = 0
 	m.restarted = true
 	m.resetIncarnations()
