--- a/internal/agent/outcomes_test.go
+++ b/internal/agent/outcomes_test.go
@@ -1,32 +1,17 @@
 package agent
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"log/slog"
-	"net/http"
 	"strings"
 	"testing"
 
 	"marblehaven/internal/codec"
+	"marblehaven/internal/fake"
 	"marblehaven/internal/httpclient"
 	"marblehaven/internal/protocol"
 )
 
-// fixedResponse is a transport that answers every request with the same response.
-type fixedResponse struct {
-	status int // 0: the connection fails
-	body   []byte
-}
-
-func (f fixedResponse) RoundTrip(*http.Request) (*http.Response, error) {
-	if f.status == 0 {
-		return nil, errors.New("connection refused")
-	}
-	return &http.Response{StatusCode: f.status, Body: io.NopCloser(bytes.NewReader(f.body))}, nil
-}
-
 // TestOutcomes checks which responses are returned as heartbeats. Any other response must be
 // an error, because it leaves open whether the commands are executed.
 func TestOutcomes(t *testing.T) {
@@ -54,7 +39,7 @@
 		{"no connection", 0, nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			client := New(fixedResponse{c.status, c.body}, httpclient.NewMalformedLog(slog.New(slog.DiscardHandler)), 1)
+			client := New(fake.FixedResponse{Status: c.status, Body: c.body}, httpclient.NewMalformedLog(slog.New(slog.DiscardHandler)), 1)
 			heartbeat, err := client.SendCommands(t.Context(), "m-1:80", protocol.CommandRequest{})
 			if c.wantHeartbeat {
 				if err != nil || heartbeat.Machine != "m-1" {
--- a/internal/cloud/client_test.go
+++ b/internal/cloud/client_test.go
@@ -1,33 +1,18 @@
 package cloud
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
-	"net/http"
 	"strings"
 	"testing"
 
 	"marblehaven/internal/codec"
+	"marblehaven/internal/fake"
 	"marblehaven/internal/httpclient"
 	"marblehaven/internal/protocol"
 )
 
-// fixedResponse is a transport that answers every request with the same response.
-type fixedResponse struct {
-	status int // 0: the connection fails
-	body   []byte
-}
-
-func (f fixedResponse) RoundTrip(*http.Request) (*http.Response, error) {
-	if f.status == 0 {
-		return nil, errors.New("connection refused")
-	}
-	return &http.Response{StatusCode: f.status, Body: io.NopCloser(bytes.NewReader(f.body))}, nil
-}
-
 // TestOutcomes checks which error each operation returns for each response. A provisioning
 // request that was executed but is reported as not executed would leave machines that are
 // neither used nor deprovisioned.
@@ -73,7 +58,7 @@
 		{"list: unreadable", list, 200, nil, ErrUnavailable, "list machines"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			client := New("cloud:1", fixedResponse{c.status, encodeBody(t, c.body)}, httpclient.NewMalformedLog(slog.New(slog.DiscardHandler)), 1000)
+			client := New("cloud:1", fake.FixedResponse{Status: c.status, Body: encodeBody(t, c.body)}, httpclient.NewMalformedLog(slog.New(slog.DiscardHandler)), 1000)
 			checkOutcome(t, c.operation(t.Context(), client), c.want, c.wantText)
 		})
 	}
--- a/internal/fake/agent_commands.go
+++ b/internal/fake/agent_commands.go
@@ -12,45 +12,58 @@
 )
 
 // serveCommands answers a controller's direct commands and status queries. A hung machine
-// answers once it no longer hangs. Commands with an old fencing token or for another incarnation
-// are refused, so that a deposed leader can neither start nor stop tasks. A request that was sent
-// before a reboot gets no answer until a heartbeat of the rebooted agent has been answered: until
-// then nothing could make the agent refuse an old start, and the service takes such starts not to
-// come (docs/questions.md, 10).
+// answers once it no longer hangs.
 func (m *machineAgent) serveCommands(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	m.env.mu.Lock()
 	defer m.env.mu.Unlock()
 	m.env.checkCommandRate(m, sentAt(r))
 	m.awaitNotHung()
-	if m.removed || (!m.answered && sentAt(r).Before(m.bootedAt)) {
-		writeReply(w, http.StatusBadGateway, nil)
-		return
+	boots := m.boots
+	var status int
+	switch {
+	case m.removed || m.lostInReboot(sentAt(r)):
+		status = http.StatusBadGateway
+	case r.URL.Path == "/status":
+		status = http.StatusOK
+	default:
+		status = m.handleCommands(body)
 	}
-	if r.URL.Path == "/status" {
-		writeReply(w, http.StatusOK, m.heartbeat())
-		return
+	switch {
+	case status == http.StatusBadGateway || m.boots != boots:
+		writeReply(w, http.StatusBadGateway, nil)
+	case status == http.StatusBadRequest:
+		writeReply(w, status, nil)
+	default:
+		writeReply(w, status, m.heartbeat())
 	}
+}
+
+// lostInReboot reports whether a request that was sent at the given time gets no answer because
+// the machine has rebooted since and no heartbeat of the rebooted agent has been answered. Until
+// then nothing can make the agent refuse an old start, and the service takes such starts not to
+// come (docs/questions.md, 10).
+func (m *machineAgent) lostInReboot(sent time.Time) bool {
+	return !m.answered && sent.Before(m.bootedAt)
+}
+
+// handleCommands carries out a request's commands and returns the status of the answer. Commands
+// with an old fencing token or for another incarnation are refused, so that a deposed leader can
+// neither start nor stop tasks.
+func (m *machineAgent) handleCommands(body []byte) int {
 	var request protocol.CommandRequest
 	if codec.Unmarshal(body, &request) != nil {
-		writeReply(w, http.StatusBadRequest, nil)
-		return
+		return http.StatusBadRequest
 	}
 	if request.Token < m.token || request.Incarnation != m.incarnation {
-		writeReply(w, http.StatusConflict, m.heartbeat())
-		return
+		return http.StatusConflict
 	}
 	m.setToken(request.Token)
 	m.executeCommands(request.Commands)
 	if m.nextCommandHang > 0 && len(request.Commands) > 0 {
-		boots := m.boots
 		m.hangBeforeAnswer()
-		if m.boots != boots {
-			writeReply(w, http.StatusBadGateway, nil)
-			return
-		}
 	}
-	writeReply(w, http.StatusOK, m.heartbeat())
+	return http.StatusOK
 }
 
 // hangBeforeAnswer makes the machine hang once, after it has carried out the commands and
--- a/internal/kvstore/client_test.go
+++ b/internal/kvstore/client_test.go
@@ -1,12 +1,9 @@
 package kvstore_test
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
-	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,24 +11,12 @@
 
 	"marblehaven/internal/codec"
 	"marblehaven/internal/config"
+	"marblehaven/internal/fake"
 	"marblehaven/internal/httpclient"
 	"marblehaven/internal/kvstore"
 	"marblehaven/internal/protocol"
 )
 
-// fixedResponse is a transport that answers every request with the same response.
-type fixedResponse struct {
-	status int // 0: the connection fails
-	body   []byte
-}
-
-func (f fixedResponse) RoundTrip(*http.Request) (*http.Response, error) {
-	if f.status == 0 {
-		return nil, errors.New("connection refused")
-	}
-	return &http.Response{StatusCode: f.status, Body: io.NopCloser(bytes.NewReader(f.body))}, nil
-}
-
 // sentinels are all errors of the package that say what is known of an outcome.
 var sentinels = []error{kvstore.ErrOutcomeUnknown, kvstore.ErrUnavailable, kvstore.ErrThrottled, kvstore.ErrConflict, kvstore.ErrNotFound,
 	kvstore.ErrLeaseExpired, kvstore.ErrInvalidRequest, kvstore.ErrTooLarge, kvstore.ErrCompacted, kvstore.ErrInDoubt}
@@ -128,7 +113,7 @@
 					}
 				}
 				limits := config.State{StateLimits: config.StateLimits{ValueKB: 32, TxnOps: 20}}
-				client := kvstore.New("state:1", fixedResponse{c.status, body}, httpclient.NewMalformedLog(slog.New(slog.DiscardHandler)), limits)
+				client := kvstore.New("state:1", fake.FixedResponse{Status: c.status, Body: body}, httpclient.NewMalformedLog(slog.New(slog.DiscardHandler)), limits)
 				time.Sleep(time.Second)
 				err := c.operation(t.Context(), client)
 				checkOutcome(t, err, c.want)
