Count a dependency as done in the checker once its final record says so

Change: the waiting check counts a dependency from its final record on. In return it now also reports a job of which all tasks have completed, that has no task on a machine and is not closed: the completion was lost and the task is not started again. Before, such a job counted as served.

--- a/internal/fake/checker_dependencies.go
+++ b/internal/fake/checker_dependencies.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"marblehaven/internal/protocol"
+	"marblehaven/internal/records"
 )
 
 // dependenciesOf lists the direct and indirect dependencies of a job.
@@ -42,18 +43,27 @@
 	return true
 }
 
-// isStartable reports whether a job may start and no cancellation can still prevent the start. A
-// dependency can be cancelled after its last task has completed but before the controllers have
-// recorded the completion.
+// isStartable reports whether a job may start, the controllers can know it, and no cancellation
+// can still prevent the start. A dependency can be cancelled after its last task has completed
+// but before the controllers have recorded the completion. A completion can also be lost with its
+// machine; the controllers then know it only once the task has been started again.
 func (c *checker) isStartable(job *userJob) bool {
 	for _, dependency := range c.dependenciesOf(job) {
-		if dependency.cancelRequested && !dependency.doneConfirmed {
+		if dependency.cancelRequested && !dependency.doneConfirmed || !c.isClosed(dependency) {
 			return false
 		}
 	}
 	return !job.cancelRequested && c.dependenciesDone(job)
 }
 
+// isClosed reports whether the store holds the job's final record.
+func (c *checker) isClosed(job *userJob) bool {
+	c.env.Store.mu.Lock()
+	defer c.env.Store.mu.Unlock()
+	_, closed := c.env.Store.keys[records.FinalKey(job.spec.ID)]
+	return closed
+}
+
 // dependencyCancelled reports whether a user has requested to cancel a dependency of the job, and
 // when the first such cancellation was confirmed (the zero time if none was).
 func (c *checker) dependencyCancelled(job *userJob) (requested bool, confirmedAt time.Time) {
--- a/internal/fake/checker_test.go
+++ b/internal/fake/checker_test.go
@@ -179,10 +179,38 @@
 	}, "went_back"},
 }
 
+// waitingTests are histories of jobs that wait beside a machine that has capacity for them.
+var waitingTests = []checkerTest{
+	{"job waits for a start", func(h *history) {
+		h.EndFaults()
+		exceedMaxWait()
+	}, "left waiting: " + firstJob},
+	{"job waits although its dependency is closed", func(h *history) {
+		h.completeJob(firstJob)
+		h.Store.Put(records.FinalKey(firstJob), records.FinalRecord{})
+		h.EndFaults()
+		exceedMaxWait()
+	}, "left waiting: " + dependentJob},
+	{"job waits, and nobody knows that its dependency is complete", func(h *history) {
+		h.jobs[firstJob].spec.Kind = protocol.KindGang // gangs are not checked
+		h.completeJob(firstJob)
+		h.EndFaults()
+		exceedMaxWait()
+	}, ""},
+	{"completion is lost and its task is not started again", func(h *history) {
+		h.completeJob(firstJob)
+		h.EndFaults()
+		exceedMaxWait()
+	}, "left waiting: " + firstJob},
+}
+
+// exceedMaxWait waits until the time is over for which a job is allowed to wait beside capacity.
+func exceedMaxWait() { time.Sleep(maxWaitWithCapacity + 3*time.Second) }
+
 // TestCheckerFindsBrokenRules checks that the checker reports the rule that a history breaks,
 // and reports nothing for a history that breaks no rule.
 func TestCheckerFindsBrokenRules(t *testing.T) {
-	for _, test := range slices.Concat(recordTests, dependencyTests, cancellationTests) {
+	for _, test := range slices.Concat(recordTests, dependencyTests, cancellationTests, waitingTests) {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { test.run(t) })
 		})
--- a/internal/fake/checker_waiting.go
+++ b/internal/fake/checker_waiting.go
@@ -46,7 +46,7 @@
 func (c *checker) hasCapacityFor(job *userJob) bool {
 	spec := &job.spec
 	placed := c.sumPlacements(spec)
-	if placed.jobTasks+len(job.finished) >= spec.Tasks {
+	if !c.awaitsStarts(job, placed.jobTasks) {
 		return false
 	}
 	for _, team := range c.env.Cfg.Teams {
@@ -62,6 +62,16 @@
 	return false
 }
 
+// awaitsStarts reports whether a job with a number of placed tasks has others that are to be
+// started. If all tasks are done, none is placed and the job is not closed, a completion was
+// lost, and its task must be started again.
+func (c *checker) awaitsStarts(job *userJob, placedTasks int) bool {
+	if job.complete() {
+		return placedTasks == 0 && !c.isClosed(job)
+	}
+	return placedTasks+len(job.finished) < job.spec.Tasks
+}
+
 // isUsable reports whether the machine can take tasks: it is up, does not hang, and has no
 // preemption notice.
 func (m *machineAgent) isUsable() bool {
