Share the start of six scenarios with a service and an array

Cause: six tests of the server began with the same lines. Change: runServiceAndArray. The conditions that the tests wait for are the same.

--- a/internal/server/cluster_jobs_test.go
+++ b/internal/server/cluster_jobs_test.go
@@ -72,6 +72,18 @@
 	return machines
 }
 
+// runServiceAndArray submits the service req-000001 with two replicas and an array, the job
+// req-000002, and waits until both replicas and at least minTasks tasks of the array are on
+// machines.
+func (c *testCluster) runServiceAndArray(array protocol.Job, runS float64, minTasks int) {
+	c.t.Helper()
+	c.submit(serviceJob(1, 2), 0)
+	c.submit(array, runS)
+	c.until(fmt.Sprintf("both replicas and %d tasks of the array run", minTasks), 2*time.Minute, func() bool {
+		return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) >= minTasks
+	})
+}
+
 // startWorkload submits two services and two arrays and waits until all their tasks run.
 func (c *testCluster) startWorkload() {
 	c.t.Helper()
--- a/internal/server/leader_failures_test.go
+++ b/internal/server/leader_failures_test.go
@@ -76,11 +76,7 @@
 func TestStoreRefusesLeader(t *testing.T) {
 	t.Parallel()
 	run(t, 50, func(c *testCluster) {
-		c.submit(serviceJob(1, 2), 0)
-		c.submit(arrayJob(2, "check", 20), 20)
-		c.until("both replicas and a task of the array run", 2*time.Minute, func() bool {
-			return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) > 0
-		})
+		c.runServiceAndArray(arrayJob(2, "check", 20), 20, 1)
 		oldLeader := c.leader()
 		c.env.Store.SetUnavailable(oldLeader, true)
 		// The old leader's peers cannot report a newer term to it, and agents can still send
@@ -128,11 +124,7 @@
 func TestStoreOutage(t *testing.T) {
 	t.Parallel()
 	run(t, 60, func(c *testCluster) {
-		c.submit(serviceJob(1, 2), 0)
-		c.submit(arrayJob(2, "check", 6), 60)
-		c.until("both replicas and more than two tasks of the array run", 2*time.Minute, func() bool {
-			return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) > 2
-		})
+		c.runServiceAndArray(arrayJob(2, "check", 6), 60, 3)
 		before := c.env.MachinesOf("req-000001")
 		c.env.Store.SetUnavailable("", true)
 		// The outage is much longer than the leader lease, which is shorter than
--- a/internal/server/machine_failures_test.go
+++ b/internal/server/machine_failures_test.go
@@ -155,11 +155,7 @@
 func TestZonePartition(t *testing.T) {
 	t.Parallel()
 	run(t, 110, func(c *testCluster) {
-		c.submit(serviceJob(1, 2), 0)
-		c.submit(arrayJob(2, "check", 16), 30)
-		c.until("tasks of both jobs run", 2*time.Minute, func() bool {
-			return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) > 0
-		})
+		c.runServiceAndArray(arrayJob(2, "check", 16), 30, 1)
 		old := c.leader()
 		inside := c.env.MachinesOf("req-000001")[0]
 		var healFuncs []func()
--- a/internal/server/machine_reboot_test.go
+++ b/internal/server/machine_reboot_test.go
@@ -16,11 +16,7 @@
 func TestMachineRebootsAtOnce(t *testing.T) {
 	t.Parallel()
 	run(t, 136, func(c *testCluster) {
-		c.submit(serviceJob(1, 2), 0)
-		c.submit(arrayJob(2, "check", 6), 40)
-		c.until("tasks of both jobs run", 2*time.Minute, func() bool {
-			return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) >= 3
-		})
+		c.runServiceAndArray(arrayJob(2, "check", 6), 40, 3)
 		time.Sleep(20 * time.Second)
 		c.env.Reboot(c.env.MachinesOf("req-000001")[0], 300*time.Millisecond)
 		c.until("the replica on the rebooted machine runs again", 6*time.Second, func() bool { return len(c.env.MachinesOf("req-000001")) == 2 })
--- a/internal/server/one_way_partition_test.go
+++ b/internal/server/one_way_partition_test.go
@@ -17,11 +17,7 @@
 		c.exhaustCapacity() // except for three small machines in each zone, fewer than the tasks need
 		c.env.LimitCapacity("small", "a", false, 3)
 		c.env.LimitCapacity("small", "b", false, 3)
-		c.submit(serviceJob(1, 2), 0)
-		c.submit(arrayJob(2, "fill", 400), 3)
-		c.until("tasks of both jobs run", 2*time.Minute, func() bool {
-			return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) >= 5
-		})
+		c.runServiceAndArray(arrayJob(2, "fill", 400), 3, 5)
 		partitioned := c.env.MachinesOf("req-000001")[0]
 		c.blockOutbound(partitioned)
 		// The machine answers commands, but gets no new tasks once it has sent no heartbeat for
@@ -87,11 +83,7 @@
 func TestMachineInboundPartition(t *testing.T) {
 	t.Parallel()
 	run(t, 134, func(c *testCluster) {
-		c.submit(serviceJob(1, 2), 0)
-		c.submit(arrayJob(2, "fill", 10), 60)
-		c.until("tasks of both jobs run", 2*time.Minute, func() bool {
-			return len(c.env.MachinesOf("req-000001")) == 2 && len(c.env.MachinesOf("req-000002")) >= 5
-		})
+		c.runServiceAndArray(arrayJob(2, "fill", 10), 60, 5)
 		partitioned := c.env.MachinesOf("req-000001")[0]
 		heal := c.network.HoldInbound(partitioned)
 		defer heal()
