Accept no heartbeat from before a restart after the answer to a command

A copy from before a restart reached a new leader after the restarted agent had answered a command and before its first heartbeat. Its lease ran out for the leader alone. Change: a heartbeat with a higher number and a lower token than the newest applied status is refused.

--- a/internal/cluster/heartbeat_order.go
+++ b/internal/cluster/heartbeat_order.go
@@ -48,7 +48,10 @@
 // heartbeat that is not newer must not be applied, must not renew the lease and does not
 // count as contact, unless DetectRestart shows that the agent has restarted.
 func (m *Machine) AcceptHeartbeat(heartbeat *protocol.Heartbeat) bool {
-	if !m.heartbeatOrder.accept(heartbeat) {
+	// A heartbeat that was overtaken by the answer to a command has a lower number than the
+	// answer. One with a higher number and a lower token is from before or after a restart.
+	fromOtherRun := m.AgentLease.isNewer(heartbeat) && heartbeat.Token < m.AcknowledgedToken
+	if fromOtherRun || !m.heartbeatOrder.accept(heartbeat) {
 		return false
 	}
 	m.observeHeartbeat(heartbeat.Token)
--- a/internal/cluster/restart_detection_test.go
+++ b/internal/cluster/restart_detection_test.go
@@ -137,3 +137,18 @@
 		t.Error("the restarted agent's incarnation still counts as expired")
 	}
 }
+
+// A copy from before a restart can be the first heartbeat that a new leader receives, after the
+// restarted agent has answered a command. If the copy were accepted, the agent's own heartbeats
+// would not be, and the leader would not count the leases that its replies renew.
+func TestCopyFromBeforeRestartHidesNoHeartbeat(t *testing.T) {
+	now := time.Now()
+	machine := NewMachine("m-1", firstToken, now, now.Add(leaseDuration))
+	machine.ApplyStatus(newHeartbeat(1, 1, firstToken), parseTask, now, now.Add(leaseDuration))
+	if machine.AcceptHeartbeat(newHeartbeat(1, 88, firstToken-1)) {
+		t.Error("a copy with a higher number and a lower token than the answer was accepted")
+	}
+	if !machine.AcceptHeartbeat(newHeartbeat(1, 2, firstToken)) {
+		t.Error("a heartbeat of the agent was refused after the copy")
+	}
+}
