Share how a machine loses its lease among the reboot tests

Cause: reading the whole change once more, three tests of it held the same lines. Change: loseLease. What the tests do and check is the same.

--- a/internal/server/machine_reboot_test.go
+++ b/internal/server/machine_reboot_test.go
@@ -43,9 +43,7 @@
 	c.untilDone(2*time.Minute, "req-000001")
 	machine := c.env.Machines()[0]
 	if lostLease {
-		c.blockOutbound(machine)
-		time.Sleep(testLease + 4*time.Second)
-		c.heal()
+		c.loseLease(machine)
 	}
 	time.Sleep(15 * time.Second) // the number of the agent's heartbeats becomes high
 	deliverCopy := c.env.CopyLastHeartbeat(machine)
@@ -84,6 +82,13 @@
 	}
 }
 
+// loseLease keeps a machine's agent from sending heartbeats until its lease has expired.
+func (c *testCluster) loseLease(machine string) {
+	heal := c.network.BlockOutbound(machine)
+	time.Sleep(testLease + 4*time.Second)
+	heal()
+}
+
 // runOnSecondIncarnation runs the eight tasks of the job req-000002, and returns a machine with
 // some of them whose agent is in its second incarnation. More machines have capacity for them.
 func (c *testCluster) runOnSecondIncarnation() (machine string) {
@@ -91,9 +96,7 @@
 	c.submit(arrayJob(1, "check", 16), 20)
 	c.untilDone(2*time.Minute, "req-000001")
 	machine = c.env.Machines()[0]
-	heal := c.network.BlockOutbound(machine)
-	time.Sleep(testLease + 4*time.Second)
-	heal()
+	c.loseLease(machine)
 	time.Sleep(5 * time.Second)
 	c.submit(arrayJob(2, "check", 8), 60)
 	c.until("the tasks run, some of them on the machine", 30*time.Second, func() bool {
@@ -154,9 +157,7 @@
 		c.submit(arrayJob(1, "check", 16), 20)
 		c.untilDone(2*time.Minute, "req-000001")
 		machine := c.env.Machines()[0]
-		heal := c.network.BlockOutbound(machine)
-		time.Sleep(testLease + 4*time.Second)
-		heal()
+		c.loseLease(machine)
 		time.Sleep(5 * time.Second)
 		deliverCopy := c.env.CopyLastHeartbeat(machine)
 		c.env.Reboot(machine, 300*time.Millisecond)
